--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,923 @@
+//! Every decision of one app server. Called by an adapter: one method a message (`arrived`,
+//! `needs_call`, `call_ended`, `run_ended`, `caller_left`, `leaving`, `tick`), each answering through
+//! `&mut impl Host`; the interface, `Host` and the plain types, is in api.rs.
+//!
+//! An arrival passes the stages of `IN` in order; each passes it on, keeps it or ends it. Held ones
+//! start from `fill`, the weighted draw. What comes back passes the stages of `BACK`.
+//! Same events, same actions: no clock, no shared state, chance only from the seed and a counter.
+
+use crate::api::*;
+use std::collections::BTreeSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+const SECOND: Time = 10_000;
+
+/// Draw: weight of a rank against the rank before it; the paper's example for heavy load.
+const BETA: f64 = 0.9;
+/// One periodic timer, as a part of the answer slack (answers at their due time come this late), and at most.
+const TICK_OF_SLACK: f64 = 0.3;
+const TICK_MAX: Time = 200;
+/// Work taken for an invocation without a hint; only its ratio to the measured run time counts.
+const NO_HINT: f64 = 2000.0;
+/// What is left of measured sums after a second.
+const MEMORY_OF_RUNS: f64 = 0.8;
+/// Weight of the start value (ratio 1) in the measured ratios, as tenths of a millisecond of work.
+const PRIOR: f64 = 4000.0;
+/// A class's scale stays within this factor of 1 either way, so one odd period can't turn the ranks round.
+const SCALE_SPAN: f64 = 4.0;
+/// Run cap: cores busier than this are full; grows under it while work waits, by this part of a core a second.
+const FULL: f64 = 0.93;
+const GROWTH: f64 = 1.0;
+/// Wanting more than this many cores a core is a crowd: the cap falls back.
+const CROWD: f64 = 1.25;
+/// Part of the survivable crowd that runs and parked calls together may reach.
+const SURVIVE: f64 = 0.7;
+/// Parked invocations (at a call or waiting for one) a core, past which none that calls is started.
+const PARKED: f64 = 3.0;
+/// Calls out a core, to a tier.
+const CALLING: f64 = 2.0;
+/// Part of `calls_out` that is used, and part of its window that may be used ahead.
+const LENT: f64 = 0.9;
+const AHEAD: f64 = 0.08;
+/// Memory: nothing starts past this part of it; past it the largest held is throttled.
+const HIGH: f64 = 0.85;
+/// Seconds of a customer's local share that may come at once.
+const BURST: f64 = 2.0;
+/// Hold: the line may take this part of the shortest objective, and this part of an invocation's own slack.
+const LINE: f64 = 0.3;
+const FIT: f64 = 0.5;
+/// Time an answer needs on its way, taken off the objective.
+const WAY: Time = 100;
+/// Places that must be taken before an invocation is turned away for what it is expected to take.
+const PROBE: f64 = 0.5;
+/// Calls for one need, while each earlier one proved or may be repeated.
+const CALL_TRIES: u32 = 2;
+/// Shortest time worth a call.
+const CALL_LEAST: Time = 200;
+/// Weight of the newest in the averages of call times.
+const NEWEST: f64 = 0.1;
+/// Advertised value: how often it is set, and bounds of what callers may have out with us, a core.
+const ADVERT: Time = 1000;
+const OUT_LEAST: f64 = 1.0;
+const OUT_MOST: f64 = 8.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum At {
+    Held,
+    Running,
+    /// At a call that has not been let out.
+    Asking,
+    Calling,
+    /// Waits for the answer of the invocation it repeats.
+    Following,
+    /// Ended; known only because its entry is kept.
+    Over,
+}
+
+enum Step {
+    Pass,
+    Keep,
+    End,
+}
+
+type In = fn(&mut Brain, Time, &Arrival, &mut dyn Host) -> Step;
+type Back = fn(&mut Brain, Time, Inv, Outcome);
+const IN: [In; 6] =
+    [Brain::drain_in, Brain::repeats_in, Brain::share_in, Brain::due_in, Brain::memory_in, Brain::hold_in];
+const BACK: [Back; 3] = [Brain::calls_back, Brain::cap_back, Brain::repeats_back];
+
+struct Rec {
+    seq: u64,
+    op: usize,
+    customer: Option<usize>,
+    in_share: bool,
+    /// Told work, and the same scaled by its class: what ranks it.
+    work: f64,
+    size: f64,
+    kb: f64,
+    /// Billed value a unit of work.
+    value: f64,
+    arrived: Time,
+    goal: Time,
+    due: Time,
+    at: At,
+    begun: bool,
+    answered: bool,
+    succeeded: bool,
+    placed_from: Time,
+    placed: Time,
+    parked_from: Time,
+    parked: Time,
+    calls: u32,
+    alarm: Time,
+    kept_until: Time,
+}
+
+/// The few figures of an operation that decisions use.
+struct Op {
+    set: Operation,
+    took: f64,
+    hinted: f64,
+    scale: f64,
+    /// Mean time an invocation spends at calls.
+    below: f64,
+}
+
+struct Customer {
+    rate: f64,
+    tokens: f64,
+}
+
+pub struct Brain {
+    ops: Vec<Op>,
+    customers: Vec<Customer>,
+    over_share: f64,
+    by_work: bool,
+    callers: f64,
+    cores: f64,
+    cold_from: f64,
+    warm_at: Time,
+    cold_for: f64,
+    high_kb: f64,
+    entry_kb: f64,
+    blowup: f64,
+    halt: Halt,
+    say: Say,
+    below: Below,
+    calls_out: f64,
+    credit_most: f64,
+    lingers: Time,
+    fresh: Time,
+    drain_grace: Time,
+    tip: f64,
+    max_backoff: Time,
+    tick: Time,
+    line_most: f64,
+    seed: u64,
+
+    drawn: u64,
+    seq: u64,
+    recs: Vec<Option<Rec>>,
+    held: Vec<Inv>,
+    active: Vec<Inv>,
+    asking: Vec<Inv>,
+    dues: BTreeSet<(Time, Inv)>,
+    running: usize,
+    calling: usize,
+    lingering: BTreeSet<(Time, u64)>,
+    credit: f64,
+    used_kb: f64,
+    line: f64,
+    cap: f64,
+    pace: f64,
+    crowd: f64,
+    call_time: f64,
+    last: Time,
+    advert_at: Time,
+    out_most: f64,
+    floor: f64,
+    shed: usize,
+    leaving: Option<(Time, Time)>,
+    crowded_out: bool,
+    calls_slow: bool,
+}
+
+impl Brain {
+    pub fn start(now: Time, set: Settings, host: &mut impl Host) -> Brain {
+        let share = |rate: &f64| Customer {
+            rate: rate / set.servers.max(1.0) / SECOND as f64,
+            tokens: rate / set.servers.max(1.0) * BURST,
+        };
+        let shortest = set.operations.iter().map(|op| op.objective).min().unwrap_or(SECOND);
+        let cores = set.cores.max(1.0);
+        let op = |set: &Operation| Op { set: set.clone(), took: 0.0, hinted: 0.0, scale: 1.0, below: 0.0 };
+        let brain = Brain {
+            ops: set.operations.iter().map(op).collect(),
+            customers: set.customers.iter().map(share).collect(),
+            over_share: set.over_share,
+            by_work: set.by_work,
+            callers: set.callers.max(1.0),
+            cores,
+            cold_from: if set.cold { set.cold_from.clamp(0.01, 1.0) } else { 1.0 },
+            warm_at: if set.cold { now + set.cold_for } else { now },
+            cold_for: set.cold_for.max(1) as f64,
+            high_kb: set.memory_kb * HIGH,
+            entry_kb: set.entry_kb,
+            blowup: set.blowup.max(1.0),
+            halt: set.halt,
+            say: set.say,
+            below: set.below,
+            calls_out: set.calls_out * LENT,
+            credit_most: set.calls_out * AHEAD * set.calls_over as f64,
+            lingers: set.lingers,
+            fresh: set.fresh,
+            drain_grace: set.drain_grace,
+            tip: set.tip.max(1.0),
+            max_backoff: set.max_backoff,
+            tick: ((set.slack as f64 * TICK_OF_SLACK) as Time).clamp(10, TICK_MAX),
+            line_most: shortest as f64 * LINE,
+            seed: set.seed,
+            drawn: 0,
+            seq: 0,
+            recs: Vec::new(),
+            held: Vec::new(),
+            active: Vec::new(),
+            asking: Vec::new(),
+            dues: BTreeSet::new(),
+            running: 0,
+            calling: 0,
+            lingering: BTreeSet::new(),
+            credit: 0.0,
+            used_kb: 0.0,
+            line: 0.0,
+            cap: cores,
+            pace: 1.0,
+            crowd: 0.0,
+            call_time: 0.0,
+            last: now,
+            advert_at: now,
+            out_most: cores * OUT_MOST,
+            floor: 0.0,
+            shed: 0,
+            leaving: None,
+            crowded_out: false,
+            calls_slow: false,
+        };
+        if set.deep_checks {
+            host.health(true, true);
+        }
+        host.wake(brain.tick);
+        brain
+    }
+
+    // ---- messages ----
+
+    pub fn arrived(&mut self, now: Time, a: Arrival, host: &mut impl Host) {
+        let set = &self.ops[a.op].set;
+        let work = a.hint.unwrap_or(NO_HINT).max(1.0);
+        let arrived = now - a.unread.max(0);
+        let due = a.budget.map_or(arrived + set.timeout, |budget| now + budget).max(now);
+        let goal = arrived + set.objective + (set.stretch * work) as Time - WAY;
+        let rec = Rec {
+            seq: self.seq,
+            op: a.op,
+            customer: a.customer.filter(|c| *c < self.customers.len()),
+            in_share: true,
+            work,
+            size: work * self.ops[a.op].scale,
+            kb: a.kb,
+            value: set.billed / if self.by_work { 1.0 } else { work },
+            arrived,
+            goal: goal.min(due),
+            due,
+            at: At::Held,
+            begun: false,
+            answered: false,
+            succeeded: false,
+            placed_from: 0,
+            placed: 0,
+            parked_from: 0,
+            parked: 0,
+            calls: 0,
+            alarm: Time::MAX,
+            kept_until: Time::MIN,
+        };
+        self.seq += 1;
+        if self.recs.len() <= a.inv {
+            self.recs.resize_with(a.inv + 1, || None);
+        }
+        self.used_kb += rec.kb;
+        self.line += rec.size;
+        self.recs[a.inv] = Some(rec);
+        self.held.push(a.inv);
+        for stage in IN {
+            match stage(self, now, &a, host) {
+                Step::Pass => {}
+                Step::Keep | Step::End => break,
+            }
+        }
+        self.fill(now, host);
+    }
+
+    /// A running invocation is parked until its call is let out, skipped or given up.
+    pub fn needs_call(&mut self, now: Time, inv: Inv, host: &mut impl Host) {
+        let Some(rec) = self.rec(inv).filter(|rec| rec.at == At::Running && !rec.answered) else { return };
+        rec.calls = 0;
+        rec.parked_from = now;
+        self.shift(now, inv, At::Asking);
+        self.let_out(now, host);
+        self.fill(now, host);
+    }
+
+    pub fn call_ended(&mut self, now: Time, inv: Inv, how: Outcome, took: Time, host: &mut impl Host) {
+        let Some(rec) = self.rec(inv).filter(|rec| rec.at == At::Calling) else { return };
+        let unproven = !matches!(how, Outcome::Throttled | Outcome::NoConnection);
+        let (op, calls, left, answered) = (rec.op, rec.calls, rec.goal - now, rec.answered);
+        if how == Outcome::NoAnswer {
+            self.lingering.insert((now + self.lingers, self.seq));
+            self.seq += 1;
+        }
+        if unproven {
+            self.call_time += (took as f64 - self.call_time) * NEWEST;
+        }
+        if answered {
+            return; // its end follows
+        }
+        if how == Outcome::Succeeded {
+            self.shift(now, inv, At::Running);
+        } else {
+            self.shift(now, inv, At::Asking);
+            // Guards against effects below happening twice: an unproven end bars another call.
+            let barred = unproven && self.ops[op].set.effect != Effect::Idempotent;
+            // Guards against retry storms below: few tries, only while there is time. Should hold for any
+            // failing dependency; may hurt where a third try would have come through.
+            let again =
+                !barred && calls < CALL_TRIES && left as f64 > self.call_time && how != Outcome::NoAnswer;
+            if !again {
+                self.without_call(now, inv, host);
+            }
+        }
+        self.let_out(now, host);
+        self.fill(now, host);
+    }
+
+    pub fn run_ended(&mut self, now: Time, inv: Inv, how: Outcome, host: &mut impl Host) {
+        if self.rec(inv).filter(|rec| rec.at != At::Over).is_none() {
+            return;
+        }
+        for stage in BACK {
+            stage(self, now, inv, how);
+        }
+        let answered = self.rec(inv).is_some_and(|rec| rec.answered);
+        let final_end =
+            answered || matches!(how, Outcome::Succeeded | Outcome::Errored | Outcome::NotStarted);
+        if final_end {
+            self.over(now, inv, host);
+        } else {
+            self.shift(now, inv, At::Held); // stopped without an answer: it waits again, or is ended below
+            self.give_up(now, inv, false, host);
+        }
+        self.let_out(now, host);
+        self.fill(now, host);
+    }
+
+    pub fn caller_left(&mut self, now: Time, inv: Inv, host: &mut impl Host) {
+        let (halt, Some(rec)) = (self.halt, self.rec(inv)) else { return };
+        let (at, first) = (rec.at, !rec.answered);
+        rec.answered = true;
+        let again = self.effect(inv) == Effect::Idempotent;
+        match at {
+            At::Held | At::Following => self.over(now, inv, host),
+            At::Running if first && again && halt != Halt::Never => host.stop(inv),
+            _ => self.asking.retain(|other| *other != inv),
+        }
+        self.fill(now, host);
+    }
+
+    pub fn leaving(&mut self, now: Time, within: Time, host: &mut impl Host) {
+        let stop = now + within - 2 * self.tick;
+        self.leaving = Some((now + self.drain_grace, stop));
+        host.health(false, true);
+        host.log(&format!("draining: held {} running {}", self.held.len(), self.active.len()));
+        let all: Vec<Inv> = self.held.iter().chain(&self.active).copied().collect();
+        for inv in all {
+            if let Some(rec) = self.rec(inv) {
+                rec.due = rec.due.min(stop);
+                rec.goal = rec.goal.min(stop);
+            }
+            self.set_alarm(now, inv);
+        }
+        self.advertise(now, host);
+        self.fill(now, host);
+    }
+
+    /// The one periodic timer, with the server's own gauges.
+    pub fn tick(&mut self, now: Time, gauges: Gauges, host: &mut impl Host) {
+        let span = (now - self.last).max(0) as f64;
+        self.last = now;
+        while let Some((_, inv)) = self.dues.first().copied().filter(|(at, _)| *at <= now) {
+            self.due(now, inv, host);
+        }
+        for customer in &mut self.customers {
+            let most = customer.rate * BURST * SECOND as f64;
+            customer.tokens = (customer.tokens + customer.rate * span).min(most.max(1.0));
+        }
+        self.measure(now, span);
+        self.grow(gauges, span);
+        self.lend(now, span);
+        if now >= self.advert_at {
+            self.advertise(now, host);
+        }
+        self.let_out(now, host);
+        self.fill(now, host);
+        host.wake(self.tick);
+    }
+
+    // ---- the stages of an arrival ----
+
+    /// Rule 3: what reached the machine after the grace is not run; nothing new is taken near the stop.
+    fn drain_in(&mut self, now: Time, a: &Arrival, host: &mut dyn Host) -> Step {
+        let Some((grace, stop)) = self.leaving else { return Step::Pass };
+        let Some(rec) = self.rec(a.inv) else { return Step::End };
+        rec.due = rec.due.min(stop).max(now);
+        rec.goal = rec.goal.min(stop);
+        if rec.arrived >= grace || now >= stop {
+            self.give_up(now, a.inv, false, host);
+            return Step::End;
+        }
+        Step::Pass
+    }
+
+    /// Rule 2: a repeat of a tokened invocation never runs beside or after the first.
+    fn repeats_in(&mut self, now: Time, a: &Arrival, host: &mut dyn Host) -> Step {
+        let set = &self.ops[a.op].set;
+        let (effect, window) = (set.effect, set.window);
+        let span = match effect {
+            Effect::Tokened => window,
+            Effect::Idempotent if self.fresh > 0 && a.keyed && !a.write => self.fresh + set.objective,
+            _ => 0,
+        };
+        if let Some(first) = a.repeats {
+            let first = first.and_then(|inv| self.recs.get(inv)?.as_ref());
+            // One that ended without having run leaves the way free; one no longer known has run.
+            let unrun = first.is_some_and(|first| first.at == At::Over && !first.begun);
+            let failed = first.is_some_and(|first| first.at == At::Over && first.begun && !first.succeeded);
+            let answered = first.is_some_and(|first| first.at != At::Over && first.answered);
+            if (failed || answered) && effect != Effect::Idempotent {
+                self.rec(a.inv).map(|rec| rec.begun = true); // some try of it has run: no throttling
+                self.give_up(now, a.inv, false, host);
+                return Step::End;
+            }
+            if !unrun && !failed && !answered {
+                self.shift(now, a.inv, At::Following);
+                host.reuse(a.inv);
+                return Step::Keep;
+            }
+        }
+        if span > 0 {
+            // Guards the table of keys: without room for its entry a tokened one could run twice.
+            if self.used_kb + self.entry_kb > self.high_kb {
+                if effect != Effect::Tokened {
+                    return Step::Pass;
+                }
+                self.give_up(now, a.inv, false, host);
+                return Step::End;
+            }
+            host.keep(a.inv, span);
+            self.used_kb += self.entry_kb;
+            self.rec(a.inv).map(|rec| rec.kept_until = now + span);
+        }
+        Step::Pass
+    }
+
+    /// Traffic beyond a customer's local share counts for little, but only where something must go.
+    fn share_in(&mut self, _now: Time, a: &Arrival, _host: &mut dyn Host) -> Step {
+        if let Some(customer) = a.customer.and_then(|c| self.customers.get_mut(c)) {
+            let in_share = customer.tokens >= 1.0;
+            customer.tokens -= if in_share { 1.0 } else { 0.0 };
+            let over_share = self.over_share;
+            if let Some(rec) = self.rec(a.inv).filter(|_| !in_share) {
+                rec.in_share = false;
+                rec.value *= over_share;
+            }
+        }
+        Step::Pass
+    }
+
+    /// What can't meet its objective goes at once, where it may still be met elsewhere.
+    fn due_in(&mut self, now: Time, a: &Arrival, host: &mut dyn Host) -> Step {
+        if (self.running as f64) < self.cores * PROBE {
+            return Step::Pass; // an idle server tries all the same: else a wrong estimate would stay
+        }
+        let need = self.need(a.inv);
+        let late = self.ops[a.op].set.late;
+        let Some(rec) = self.rec(a.inv) else { return Step::End };
+        if now as f64 + need > rec.goal as f64 {
+            if late > 0.0 && (now as f64 + need) < rec.due as f64 {
+                rec.goal = rec.due;
+                rec.value *= late;
+                return Step::Pass;
+            }
+            self.give_up(now, a.inv, false, host);
+            return Step::End;
+        }
+        Step::Pass
+    }
+
+    /// Past the high mark the largest held goes, until the rest fits.
+    fn memory_in(&mut self, now: Time, a: &Arrival, host: &mut dyn Host) -> Step {
+        while self.used_kb > self.high_kb {
+            let key =
+                |inv: &Inv| self.recs[*inv].as_ref().map_or((0, 0), |rec| ((rec.kb * 16.0) as u64, rec.seq));
+            let Some(largest) = self.held.iter().copied().max_by_key(key) else { break };
+            self.give_up(now, largest, false, host);
+            if largest == a.inv {
+                return Step::End;
+            }
+        }
+        Step::Pass
+    }
+
+    /// A line no longer than its objectives allow; of what must go, the least valued, then the newest.
+    fn hold_in(&mut self, now: Time, a: &Arrival, host: &mut dyn Host) -> Step {
+        loop {
+            let Some(rec) = self.recs[a.inv].as_ref().filter(|rec| rec.at == At::Held) else {
+                return Step::End;
+            };
+            let room = (FIT * ((rec.goal - now) as f64 - self.need(a.inv))).min(self.line_most);
+            let free = self.cap - self.running as f64 >= self.held.len() as f64;
+            let ahead = self.wait() - rec.size * self.pace / self.cap;
+            if free || ahead <= room.max(0.0) {
+                break;
+            }
+            let Some(victim) = self.least() else { break };
+            self.shed += self.recs[victim].as_ref().is_some_and(|rec| rec.in_share) as usize;
+            let over = self.recs[victim].as_ref().is_some_and(|rec| !rec.in_share);
+            self.give_up(now, victim, over, host);
+        }
+        self.set_alarm(now, a.inv);
+        Step::Keep
+    }
+
+    // ---- starting: run cap, memory and calls in hand, then the draw ----
+
+    fn fill(&mut self, now: Time, host: &mut dyn Host) {
+        let parked = self.active.len() - self.running;
+        let survivable = self.cores * (1.0 + (self.tip - 1.0) * self.warm(now)) * SURVIVE;
+        while !self.held.is_empty()
+            && (self.running as f64) < self.cap
+            && ((self.active.len() + 1) as f64) < survivable
+        {
+            let no_calls = parked as f64 >= self.cores * PARKED;
+            let Some(inv) = self.draw(no_calls) else { break };
+            self.rec(inv).map(|rec| rec.begun = true);
+            self.shift(now, inv, At::Running);
+            self.set_alarm(now, inv);
+            host.run(inv);
+        }
+    }
+
+    /// The weighted draw: rank j of N by scaled hint with chance b^j (1-b) / (1-b^N). Those that may not
+    /// start (their running bytes pass the high mark, or they call while too many are parked) have no rank.
+    fn draw(&mut self, no_calls: bool) -> Option<Inv> {
+        let fits = |inv: &&Inv| {
+            self.recs[**inv].as_ref().is_some_and(|rec| {
+                let calls = no_calls && self.below != Below::Nothing && self.ops[rec.op].set.calls;
+                self.used_kb + rec.kb * (self.blowup - 1.0) <= self.high_kb && !calls
+            })
+        };
+        let mut ranked: Vec<Inv> = self.held.iter().filter(fits).copied().collect();
+        if ranked.is_empty() {
+            return None;
+        }
+        let count = ranked.len();
+        let u = self.chance();
+        let rank = (1.0 - u * (1.0 - BETA.powi(count as i32))).ln() / BETA.ln();
+        let rank = (rank as usize).min(count - 1);
+        let recs = &self.recs;
+        let by = |inv: &Inv| recs[*inv].as_ref().map_or((0.0, 0), |rec| (rec.size, rec.seq));
+        let (_, drawn, _) = ranked.select_nth_unstable_by(rank, |a, b| {
+            let (a, b) = (by(a), by(b));
+            a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))
+        });
+        Some(*drawn)
+    }
+
+    fn chance(&mut self) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        (self.seed, self.drawn).hash(&mut hasher);
+        self.drawn += 1;
+        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    // ---- calls below ----
+
+    /// Calls go out in order of billed value, then age, as the bounds allow.
+    fn let_out(&mut self, now: Time, host: &mut dyn Host) {
+        loop {
+            let out = (self.calling + self.lingering.len()) as f64;
+            let may = match self.below {
+                Below::Shared => self.credit >= 0.0 && out + 1.0 <= self.calls_out.max(1.0).ceil(),
+                _ => out < self.cores * CALLING,
+            };
+            let by = |inv: &Inv| self.recs[*inv].as_ref().map_or((0.0, 0), |rec| (rec.value, rec.seq));
+            let best = self.asking.iter().copied().max_by(|a, b| {
+                let (a, b) = (by(a), by(b));
+                a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
+            });
+            let (true, Some(inv)) = (may, best) else { return };
+            let Some(rec) = self.rec(inv) else { return };
+            let left = rec.goal - now;
+            if left < CALL_LEAST {
+                self.without_call(now, inv, host);
+                continue;
+            }
+            rec.calls += 1;
+            self.shift(now, inv, At::Calling);
+            host.call(inv, left);
+        }
+    }
+
+    /// The call is given up: answered poorer where that is worth something, else errored at once.
+    fn without_call(&mut self, now: Time, inv: Inv, host: &mut dyn Host) {
+        let Some(rec) = self.rec(inv) else { return };
+        let op = rec.op;
+        if self.ops[op].set.skipped > 0.0 {
+            self.shift(now, inv, At::Running);
+            host.skip_call(inv);
+        } else {
+            self.fail(now, inv, host);
+        }
+    }
+
+    /// Rule 4 for a shared dependency: credit grows with our share and is spent by calls in hand.
+    fn lend(&mut self, now: Time, span: f64) {
+        while self.lingering.first().is_some_and(|(until, _)| *until <= now) {
+            self.lingering.pop_first();
+        }
+        let out = (self.calling + self.lingering.len()) as f64;
+        self.credit = (self.credit + (self.calls_out - out) * span).min(self.credit_most);
+    }
+
+    // ---- the way back ----
+
+    fn calls_back(&mut self, _now: Time, inv: Inv, how: Outcome) {
+        let Some(rec) = self.rec(inv).filter(|_| how == Outcome::Succeeded) else { return };
+        let (op, parked) = (rec.op, rec.parked as f64);
+        self.ops[op].below += (parked - self.ops[op].below) * NEWEST;
+    }
+
+    fn cap_back(&mut self, now: Time, inv: Inv, how: Outcome) {
+        let Some(rec) = self.rec(inv).filter(|rec| rec.at == At::Running) else { return };
+        if how == Outcome::Succeeded {
+            let (op, work, placed) = (rec.op, rec.work, rec.placed + now - rec.placed_from);
+            self.ops[op].took += placed as f64;
+            self.ops[op].hinted += work;
+        }
+    }
+
+    fn repeats_back(&mut self, _now: Time, inv: Inv, how: Outcome) {
+        self.rec(inv).map(|rec| rec.succeeded = how == Outcome::Succeeded && !rec.answered);
+    }
+
+    // ---- due times ----
+
+    fn due(&mut self, now: Time, inv: Inv, host: &mut dyn Host) {
+        let need = self.need(inv);
+        let stops = self.halt != Halt::Never && !self.held.is_empty();
+        let late = self.recs[inv].as_ref().map_or(0.0, |rec| self.ops[rec.op].set.late);
+        self.dues.remove(&(self.recs[inv].as_ref().map_or(now, |rec| rec.alarm), inv));
+        let Some(rec) = self.rec(inv) else { return };
+        rec.alarm = Time::MAX;
+        let past = now >= rec.goal && late <= 0.0;
+        match rec.at {
+            At::Over => return self.release(inv, host),
+            _ if rec.answered => return,
+            _ if now >= rec.due => return self.fail(now, inv, host),
+            At::Held if now as f64 + need >= rec.goal as f64 => {
+                if late <= 0.0 || rec.goal >= rec.due {
+                    return self.give_up(now, inv, false, host);
+                }
+                rec.goal = rec.due;
+                rec.value *= late;
+            }
+            // Past its objective and worth nothing: its place serves those that wait.
+            At::Running if past && stops => return self.fail(now, inv, host),
+            At::Asking | At::Calling if past => return self.fail(now, inv, host),
+            _ => {}
+        }
+        self.set_alarm(now, inv);
+    }
+
+    fn set_alarm(&mut self, now: Time, inv: Inv) {
+        let need = self.need(inv) as Time;
+        let Some(rec) = self.rec(inv) else { return };
+        let next = match rec.at {
+            At::Over => rec.kept_until,
+            At::Following => rec.due,
+            At::Held => (rec.goal - need).max(now + 1).min(rec.due),
+            _ if rec.goal > now => rec.goal.min(rec.due),
+            _ => rec.due,
+        };
+        let before = std::mem::replace(&mut rec.alarm, next);
+        self.dues.remove(&(before, inv));
+        self.dues.insert((next, inv));
+    }
+
+    // ---- endings ----
+
+    /// Turned away with a time to come back; what has run and may not run twice is errored instead.
+    fn give_up(&mut self, now: Time, inv: Inv, stay_away: bool, host: &mut dyn Host) {
+        let once = self.effect(inv) != Effect::Idempotent;
+        let back = (self.wait() as Time).clamp(0, self.max_backoff);
+        let back = if self.leaving.is_some() { self.max_backoff } else { back };
+        let Some(rec) = self.rec(inv).filter(|rec| !rec.answered) else { return };
+        if (rec.begun && once) || rec.at != At::Held {
+            return self.fail(now, inv, host);
+        }
+        rec.answered = true;
+        if let (true, Some(customer)) = (rec.in_share, rec.customer) {
+            self.customers[customer].tokens += 1.0;
+        }
+        host.throttle(inv, back, stay_away);
+        self.over(now, inv, host);
+    }
+
+    /// The final answer of error; running work is stopped where that is possible.
+    fn fail(&mut self, now: Time, inv: Inv, host: &mut dyn Host) {
+        let halt = self.halt;
+        let Some(rec) = self.rec(inv).filter(|rec| !rec.answered) else { return };
+        rec.answered = true;
+        let at = rec.at;
+        host.error(inv);
+        match at {
+            At::Held | At::Following => self.over(now, inv, host),
+            At::Running if halt != Halt::Never => host.stop(inv),
+            _ => self.asking.retain(|other| *other != inv),
+        }
+    }
+
+    /// Nothing of it is left here but, for a while, its entry.
+    fn over(&mut self, now: Time, inv: Inv, host: &mut dyn Host) {
+        self.shift(now, inv, At::Over);
+        let Some(rec) = self.rec(inv) else { return };
+        if rec.kept_until > now {
+            self.set_alarm(now, inv);
+        } else {
+            self.release(inv, host);
+        }
+    }
+
+    fn release(&mut self, inv: Inv, host: &mut dyn Host) {
+        if let Some(rec) = self.recs[inv].take() {
+            self.dues.remove(&(rec.alarm, inv));
+            if rec.kept_until > Time::MIN {
+                self.used_kb -= self.entry_kb;
+            }
+            host.release(inv);
+        }
+    }
+
+    // ---- figures ----
+
+    fn rec(&mut self, inv: Inv) -> Option<&mut Rec> {
+        self.recs.get_mut(inv)?.as_mut()
+    }
+
+    fn effect(&self, inv: Inv) -> Effect {
+        let rec = self.recs.get(inv).and_then(Option::as_ref);
+        rec.map_or(Effect::Idempotent, |rec| self.ops[rec.op].set.effect)
+    }
+
+    /// Moves an invocation to another place, with all that is counted by place.
+    fn shift(&mut self, now: Time, inv: Inv, to: At) {
+        let blowup = self.blowup;
+        let Some(rec) = self.recs[inv].as_mut() else { return };
+        let from = std::mem::replace(&mut rec.at, to);
+        let bytes = |at: At| match at {
+            At::Held | At::Following => rec.kb,
+            At::Over => 0.0,
+            _ => rec.kb * blowup,
+        };
+        self.used_kb += bytes(to) - bytes(from);
+        match from {
+            At::Held => {
+                self.held.retain(|other| *other != inv);
+                self.line = if self.held.is_empty() { 0.0 } else { self.line - rec.size };
+            }
+            At::Running => {
+                rec.placed += now - rec.placed_from;
+                self.running -= 1;
+            }
+            At::Asking => self.asking.retain(|other| *other != inv),
+            At::Calling => self.calling -= 1,
+            _ => {}
+        }
+        match to {
+            At::Held => {
+                self.held.push(inv);
+                self.line += rec.size;
+            }
+            At::Running => {
+                if matches!(from, At::Asking | At::Calling) {
+                    rec.parked += now - rec.parked_from;
+                }
+                rec.placed_from = now;
+                self.running += 1;
+            }
+            At::Asking => self.asking.push(inv),
+            At::Calling => self.calling += 1,
+            _ => {}
+        }
+        let active = |at: At| matches!(at, At::Running | At::Asking | At::Calling);
+        if active(to) && !active(from) {
+            self.active.push(inv);
+        } else if active(from) && !active(to) {
+            self.active.retain(|other| *other != inv);
+        }
+    }
+
+    /// Time the line takes to start, at the present pace.
+    fn wait(&self) -> f64 {
+        self.line * self.pace / self.cap
+    }
+
+    /// Time one still needs from its start: its place, and its calls.
+    fn need(&self, inv: Inv) -> f64 {
+        let rec = self.recs.get(inv).and_then(Option::as_ref);
+        rec.map_or(0.0, |rec| rec.size * self.pace + self.ops[rec.op].below)
+    }
+
+    fn least(&self) -> Option<Inv> {
+        let by = |inv: &Inv| self.recs[*inv].as_ref().map_or((0.0, 0), |rec| (rec.value, rec.seq));
+        self.held.iter().copied().min_by(|a, b| {
+            let (a, b) = (by(a), by(b));
+            a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
+        })
+    }
+
+    fn warm(&self, now: Time) -> f64 {
+        let left = (self.warm_at - now).max(0) as f64 / self.cold_for;
+        1.0 - (1.0 - self.cold_from) * left
+    }
+
+    /// Class scales and the pace (time a place is held for a unit of scaled hint) over the same period.
+    fn measure(&mut self, now: Time, span: f64) {
+        let keep = MEMORY_OF_RUNS.powf(span / SECOND as f64);
+        for op in &mut self.ops {
+            op.took *= keep;
+            op.hinted *= keep;
+        }
+        let (took, hinted) = self.ops.iter().fold((0.0, 0.0), |sum, op| (sum.0 + op.took, sum.1 + op.hinted));
+        for op in &mut self.ops {
+            let own = (op.took + PRIOR) / (op.hinted + PRIOR);
+            let others = (took - op.took + PRIOR) / (hinted - op.hinted + PRIOR);
+            op.scale = (own / others).clamp(1.0 / SCALE_SPAN, SCALE_SPAN);
+        }
+        let scaled: f64 = self.ops.iter().map(|op| op.hinted * op.scale).sum();
+        let ended = (took + PRIOR) / (scaled + PRIOR);
+        // A server that has just turned slow ends little: what runs already shows it.
+        let (mut elapsed, mut sizes) = (0.0, 0.0);
+        for rec in self.active.iter().filter_map(|inv| self.recs[*inv].as_ref()) {
+            let here = if rec.at == At::Running { now - rec.placed_from } else { 0 };
+            elapsed += (rec.placed + here) as f64;
+            sizes += rec.size;
+        }
+        self.pace = if sizes > 0.0 { ended.max(elapsed / sizes) } else { ended };
+    }
+
+    /// The run cap follows the cores: up while they idle and work waits, back when they are crowded.
+    fn grow(&mut self, gauges: Gauges, span: f64) {
+        let (Some(busy), Some(wanting)) = (gauges.core_use, gauges.on_cores) else { return };
+        self.crowd += (wanting / self.cores - self.crowd) * NEWEST;
+        let step = GROWTH * self.cores * span / SECOND as f64;
+        if self.crowd > CROWD && busy > FULL {
+            self.cap -= step;
+        } else if busy < FULL && !self.held.is_empty() && self.running as f64 + 1.0 > self.cap {
+            self.cap += step;
+        }
+        self.cap = self.cap.clamp(self.cores, self.cores * self.tip * SURVIVE);
+    }
+
+    /// Tells callers how much to send: less while in-share invocations had to be shed, then slowly more.
+    fn advertise(&mut self, now: Time, host: &mut dyn Host) {
+        self.advert_at = now + ADVERT;
+        let shed = std::mem::take(&mut self.shed);
+        let pressed = shed > 0 || self.wait() > self.line_most;
+        if pressed != self.crowded_out {
+            self.crowded_out = pressed;
+            let state = if pressed { "shedding" } else { "not shedding" };
+            host.log(&format!(
+                "{state}: held {} running {} cap {:.1} pace {:.2} wait {:.0} ms",
+                self.held.len(),
+                self.running,
+                self.cap,
+                self.pace,
+                self.wait() / 10.0
+            ));
+        }
+        let slow = self.ops.iter().any(|op| self.call_time * 2.0 > op.set.objective as f64);
+        if slow != self.calls_slow {
+            self.calls_slow = slow;
+            host.log(&format!(
+                "calls {}: mean {:.0} ms, {} out, {} wait",
+                if slow { "slow" } else { "not slow" },
+                self.call_time / 10.0,
+                self.calling,
+                self.asking.len()
+            ));
+        }
+        let out = self.held.len() + self.active.len();
+        let (least, most) = (self.cores * OUT_LEAST, self.cores * OUT_MOST);
+        let target = if pressed { self.out_most.min(out as f64) * 0.95 } else { self.out_most * 1.05 };
+        self.out_most = target.clamp(least, most);
+        self.floor = (self.floor + if pressed { 0.02 } else { -0.02 }).clamp(0.0, 0.8);
+        let gone = self.leaving.is_some();
+        match self.say {
+            Say::Nothing => {}
+            Say::Floor => host.advertise(if gone { 1.0 } else { self.floor }),
+            Say::Allowance => host.advertise(if gone { 0.0 } else { self.out_most / self.callers }),
+            Say::Weight => host.advertise(if gone { 0.0 } else { 1.0 - self.floor }),
+        }
+    }
+}
--- /dev/null
+++ b/wirehost/src/main.rs
@@ -0,0 +1,290 @@
+//! Reads event batches, hosts one `Brain` per instance, writes one reply per batch. Decides nothing.
+
+mod settings;
+
+use cypresscleat::api::*;
+use cypresscleat::Brain;
+use settings::Names;
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::io::{self, BufRead, Write};
+
+const NS: i64 = 100_000; // nanoseconds in a tenth of a millisecond
+
+/// Ids of one instance: words to indices and back; a freed index is used again.
+#[derive(Default)]
+struct Ids {
+    index: HashMap<String, Inv>,
+    words: Vec<String>,
+    free: Vec<Inv>,
+}
+
+impl Ids {
+    fn open(&mut self, word: &str) -> Inv {
+        let inv = self.free.pop().unwrap_or_else(|| {
+            self.words.push(String::new());
+            self.words.len() - 1
+        });
+        self.words[inv] = word.to_string();
+        self.index.insert(word.to_string(), inv);
+        inv
+    }
+}
+
+struct Wire<'a> {
+    out: &'a mut String,
+    who: usize,
+    ids: &'a mut Ids,
+}
+
+impl Wire<'_> {
+    fn line(&mut self, name: &str, inv: Inv, rest: std::fmt::Arguments) {
+        let _ = writeln!(self.out, "{name} {} {}{rest}", self.who, self.ids.words[inv]);
+    }
+}
+
+impl Host for Wire<'_> {
+    fn run(&mut self, inv: Inv) {
+        self.line("ADMIT", inv, format_args!(""));
+    }
+    fn throttle(&mut self, inv: Inv, back: Time, give_up: bool) {
+        self.line("REJECT", inv, format_args!(" {} {}", back * NS, give_up as u8));
+    }
+    fn error(&mut self, inv: Inv) {
+        self.line("DROP_REQUEST", inv, format_args!(""));
+    }
+    fn stop(&mut self, inv: Inv) {
+        self.line("YANK", inv, format_args!(""));
+    }
+    fn call(&mut self, inv: Inv, within: Time) {
+        self.line("REACH_OUT", inv, format_args!(" {}", within * NS));
+    }
+    fn skip_call(&mut self, inv: Inv) {
+        self.line("SKIP", inv, format_args!(""));
+    }
+    fn keep(&mut self, inv: Inv, span: Time) {
+        self.line("RETAIN", inv, format_args!(" {}", span * NS));
+    }
+    fn forget(&mut self, inv: Inv) {
+        self.line("EVICT", inv, format_args!(""));
+    }
+    fn reuse(&mut self, inv: Inv) {
+        self.line("ANSWER_FROM", inv, format_args!(""));
+    }
+    fn health(&mut self, good: bool, stored: bool) {
+        let _ = writeln!(self.out, "SET_HEALTH {} {} {}", self.who, good as u8, stored as u8);
+    }
+    fn advertise(&mut self, value: f64) {
+        let _ = writeln!(self.out, "HINT_OUT {} {value:.4}", self.who);
+    }
+    fn close_idle(&mut self, after: Time) {
+        let _ = writeln!(self.out, "CLOSE_IDLE {} {}", self.who, after * NS);
+    }
+    fn wake(&mut self, after: Time) {
+        let _ = writeln!(self.out, "SET_TIMER {} {} 1", self.who, after * NS);
+    }
+    fn log(&mut self, line: &str) {
+        let _ = writeln!(self.out, "EMIT {} {line}", self.who);
+    }
+    fn release(&mut self, inv: Inv) {
+        self.ids.index.remove(&self.ids.words[inv]);
+        self.ids.free.push(inv);
+    }
+}
+
+struct Instance {
+    brain: Brain,
+    ids: Ids,
+    names: Names,
+}
+
+/// The values of one line, taken in order.
+struct Values<'a>(std::str::Split<'a, char>);
+
+impl<'a> Values<'a> {
+    fn word(&mut self, what: &str) -> Result<&'a str, String> {
+        self.0.next().filter(|word| !word.is_empty()).ok_or_else(|| format!("{what} is missing"))
+    }
+    /// A value that may be absent: `-` or nothing more on the line.
+    fn maybe(&mut self) -> Option<&'a str> {
+        self.0.next().filter(|word| *word != "-" && !word.is_empty())
+    }
+    fn number<T: std::str::FromStr>(&mut self, what: &str) -> Result<T, String> {
+        parse(self.word(what)?, what)
+    }
+    fn optional<T: std::str::FromStr>(&mut self, what: &str) -> Result<Option<T>, String> {
+        self.maybe().map(|word| parse(word, what)).transpose()
+    }
+    fn span(&mut self, what: &str) -> Result<Time, String> {
+        Ok(self.optional::<i64>(what)?.unwrap_or(0) / NS)
+    }
+    fn flag(&mut self, what: &str) -> Result<bool, String> {
+        match self.maybe() {
+            None | Some("0") => Ok(false),
+            Some("1") => Ok(true),
+            Some(word) => Err(format!("{what} is {word:?}, neither 0 nor 1")),
+        }
+    }
+}
+
+fn parse<T: std::str::FromStr>(word: &str, what: &str) -> Result<T, String> {
+    word.parse().map_err(|_| format!("{what} is {word:?}"))
+}
+
+fn place(names: &[String], word: &str, what: &str) -> Result<usize, String> {
+    names
+        .iter()
+        .position(|name| name == word)
+        .ok_or_else(|| format!("no {what} named {word:?} in the settings"))
+}
+
+fn outcome(word: &str) -> Result<Outcome, String> {
+    Ok(match word {
+        "served" => Outcome::Succeeded,
+        "server_error" => Outcome::Errored,
+        "turned_away" => Outcome::Throttled,
+        "no_answer" => Outcome::NoAnswer,
+        "no_connection" => Outcome::NoConnection,
+        "connection_lost" => Outcome::ConnectionLost,
+        "called_off" => Outcome::CalledOff,
+        "not_sent" => Outcome::NotStarted,
+        _ => return Err(format!("outcome is {word:?}")),
+    })
+}
+
+fn gauges(pairs: Option<&str>) -> Result<Gauges, String> {
+    let mut read = Gauges::default();
+    for pair in pairs.unwrap_or("").split(',').filter(|pair| !pair.is_empty()) {
+        let (name, value) = pair.split_once(':').ok_or_else(|| format!("gauge {pair:?} has no value"))?;
+        let value = Some(parse::<f64>(value, name)?);
+        match name {
+            "core_use" => read.core_use = value,
+            "on_cores" => read.on_cores = value,
+            "heap_share" => read.memory = value,
+            "links" => read.links = value,
+            _ => {}
+        }
+    }
+    Ok(read)
+}
+
+fn arrival(at: &mut Instance, word: &str, values: &mut Values) -> Result<Arrival, String> {
+    let resent = values.flag("resent")?;
+    let budget = values.optional::<i64>("budget_ns")?.filter(|ns| *ns > 0).map(|ns| ns / NS);
+    let rank = values.optional("prio")?.unwrap_or(0.0);
+    let repeats = values.maybe().filter(|word| *word != "0").map(|word| at.ids.index.get(word).copied());
+    let op = place(&at.names.operations, values.word("profile")?, "operation")?;
+    let keyed = values.maybe().is_some();
+    let unread = values.span("unread_for_ns")?;
+    values.maybe(); // the caller's number
+    let write = values.flag("write")?;
+    let hint = values.optional::<f64>("cost_ns")?.filter(|ns| *ns > 0.0).map(|ns| ns / NS as f64);
+    let kb = values.optional("kb")?.unwrap_or(0.0);
+    let customer = match values.maybe() {
+        None | Some("0") => None,
+        Some(name) => Some(place(&at.names.customers, name, "customer")?),
+    };
+    let inv = at.ids.open(word);
+    Ok(Arrival { inv, op, customer, budget, rank, repeats, keyed, unread, write, resent, hint, kb })
+}
+
+fn event(
+    hosted: &mut HashMap<usize, Instance>,
+    now: Time,
+    line: &str,
+    out: &mut String,
+) -> Result<(), String> {
+    let mut values = Values(line.split(' '));
+    let name = values.word("message name")?;
+    let who: usize = values.number("who")?;
+    if name == "OPEN_INSTANCE" {
+        let seed: u64 = values.number("salt")?;
+        let start = line.find('{').ok_or("boot_info is missing")?;
+        let (settings, names) = settings::read(&line[start..], seed)?;
+        let mut ids = Ids::default();
+        let brain = Brain::start(now, settings, &mut Wire { out, who, ids: &mut ids });
+        hosted.insert(who, Instance { brain, ids, names });
+        return Ok(());
+    }
+    let at = hosted.get_mut(&who).ok_or_else(|| format!("no instance {who} is open"))?;
+    match name {
+        "STOP" => {
+            hosted.remove(&who);
+            return Ok(());
+        }
+        "REMINDER" => {
+            values.word("key_back")?;
+            let gauges = gauges(values.maybe())?;
+            at.brain.tick(now, gauges, &mut Wire { out, who, ids: &mut at.ids });
+            return Ok(());
+        }
+        "LEAVING" => {
+            let within = values.span("budget_ns")?;
+            at.brain.leaving(now, within, &mut Wire { out, who, ids: &mut at.ids });
+            return Ok(());
+        }
+        _ => {}
+    }
+    let word = values.word("corr")?;
+    if name == "ACCEPT" {
+        let arrival = arrival(at, word, &mut values)?;
+        at.brain.arrived(now, arrival, &mut Wire { out, who, ids: &mut at.ids });
+        return Ok(());
+    }
+    // An id that is no longer known was released: its late events concern nobody.
+    let inv = at.ids.index.get(word).copied();
+    let mut host = Wire { out, who, ids: &mut at.ids };
+    match name {
+        "NEEDS_DEP" => inv.map(|inv| at.brain.needs_call(now, inv, &mut host)),
+        "CLIENT_LEFT" => inv.map(|inv| at.brain.caller_left(now, inv, &mut host)),
+        "CALL_DONE" | "DONE" => {
+            let how = outcome(values.word("code")?)?;
+            let took = values.span("time_taken_ns")?;
+            match name {
+                "DONE" => inv.map(|inv| at.brain.run_ended(now, inv, how, &mut host)),
+                _ => inv.map(|inv| at.brain.call_ended(now, inv, how, took, &mut host)),
+            }
+        }
+        _ => return Err(format!("unknown message {name:?}")),
+    };
+    Ok(())
+}
+
+fn serve(input: impl BufRead, mut output: impl Write) -> Result<(), String> {
+    let mut hosted = HashMap::new();
+    let mut now: Option<Time> = None;
+    let mut out = String::new();
+    let mut count = 0;
+    for line in input.lines() {
+        count += 1;
+        let wrong = |what: String| format!("line {count}: {what}");
+        let line = line.map_err(|error| wrong(error.to_string()))?;
+        match (line.strip_prefix("TURN "), now) {
+            (Some(clock), None) => now = Some(parse::<i64>(clock, "clock").map_err(wrong)? / NS),
+            (Some(_), Some(_)) => return Err(wrong("TURN inside a batch".into())),
+            (None, None) if line.is_empty() => {}
+            (None, None) => return Err(wrong(format!("expected TURN, found {line:?}"))),
+            (None, Some(_)) if line == "EOB" => {
+                out.push_str("DONE\n");
+                output
+                    .write_all(out.as_bytes())
+                    .and_then(|()| output.flush())
+                    .map_err(|e| wrong(e.to_string()))?;
+                out.clear();
+                now = None;
+            }
+            (None, Some(now)) => event(&mut hosted, now, &line, &mut out).map_err(wrong)?,
+        }
+    }
+    match now {
+        Some(_) => Err(format!("line {count}: input ended inside a batch")),
+        None => Ok(()),
+    }
+}
+
+fn main() {
+    if let Err(what) = serve(io::stdin().lock(), io::stdout().lock()) {
+        eprintln!("cypresscleat-wirehost: {what}");
+        std::process::exit(1);
+    }
+}
