--- a/src/brain.rs
+++ b/src/brain.rs
@@ -395,7 +395,8 @@
     pub fn tick(&mut self, now: Time, gauges: Gauges, host: &mut impl Host) {
         let span = (now - self.last).max(0) as f64;
         self.last = now;
-        while let Some((_, inv)) = self.dues.first().copied().filter(|(at, _)| *at <= now) {
+        while self.dues.first().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, inv)) = self.dues.pop_first() else { break };
             self.due(now, inv, host);
         }
         for customer in &mut self.customers {
@@ -666,7 +667,6 @@
         let need = self.need(inv);
         let stops = self.halt != Halt::Never && !self.held.is_empty();
         let late = self.recs[inv].as_ref().map_or(0.0, |rec| self.ops[rec.op].set.late);
-        self.dues.remove(&(self.recs[inv].as_ref().map_or(now, |rec| rec.alarm), inv));
         let Some(rec) = self.rec(inv) else { return };
         rec.alarm = Time::MAX;
         let past = now >= rec.goal && late <= 0.0;
