Bound shared calls well under the share survived, and shed callers that can't call in time

Cause: all servers together crowded the shared dependency, which thrashes long before it dies, so a short slowness became a lasting jam.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,8 +37,8 @@
 /// Calls out a core, to a tier.
 const CALLING: f64 = 2.0;
 /// Part of `calls_out` that is used, and part of its window that may be used ahead.
-const LENT: f64 = 0.9;
-const AHEAD: f64 = 0.08;
+const LENT: f64 = 0.3;
+const AHEAD: f64 = 0.1;
 /// Memory: nothing starts past this part of it; past it the largest held is throttled.
 const HIGH: f64 = 0.85;
 /// Seconds of a customer's local share that may come at once.
@@ -318,7 +318,8 @@
             self.seq += 1;
         }
         if unproven {
-            self.call_time += (took as f64 - self.call_time) * NEWEST;
+            let first = self.call_time == 0.0;
+            self.call_time += (took as f64 - self.call_time) * if first { 1.0 } else { NEWEST };
         }
         if answered {
             return; // its end follows
@@ -528,10 +529,12 @@
             let room = (FIT * ((rec.goal - now) as f64 - self.need(a.inv))).min(self.line_most);
             let free = self.cap - self.running as f64 >= self.held.len() as f64;
             let ahead = self.wait() - rec.size * self.pace / self.cap;
-            if free || ahead <= room.max(0.0) {
+            let calls = self.ops[rec.op].set.calls;
+            let no_calls = calls && self.calls_line() > FIT * (rec.goal - now) as f64;
+            if !no_calls && (free || ahead <= room.max(0.0)) {
                 break;
             }
-            let Some(victim) = self.least() else { break };
+            let Some(victim) = self.least(no_calls) else { break };
             self.shed += self.recs[victim].as_ref().is_some_and(|rec| rec.in_share) as usize;
             let over = self.recs[victim].as_ref().is_some_and(|rec| !rec.in_share);
             self.give_up(now, victim, over, host);
@@ -598,7 +601,7 @@
         loop {
             let out = (self.calling + self.lingering.len()) as f64;
             let may = match self.below {
-                Below::Shared => self.credit >= 0.0 && out + 1.0 <= self.calls_out.max(1.0).ceil(),
+                Below::Shared => self.credit >= 0.0 && out < (self.calls_out / LENT).max(1.0).floor(),
                 _ => out < self.cores * CALLING,
             };
             let by = |inv: &Inv| self.recs[*inv].as_ref().map_or((0.0, 0), |rec| (rec.value, rec.seq));
@@ -828,9 +831,22 @@
         rec.map_or(0.0, |rec| rec.size * self.pace + self.ops[rec.op].below)
     }
 
-    fn least(&self) -> Option<Inv> {
+    /// Time until the calls owed by all that is here have gone out, where their number is bound.
+    fn calls_line(&self) -> f64 {
+        if self.below != Below::Shared {
+            return 0.0;
+        }
+        let calls = |inv: &&Inv| self.recs[**inv].as_ref().is_some_and(|rec| self.ops[rec.op].set.calls);
+        let owed = self.asking.len() + self.held.iter().filter(calls).count();
+        owed as f64 * self.call_time / self.calls_out.max(0.01)
+    }
+
+    fn least(&self, calls: bool) -> Option<Inv> {
         let by = |inv: &Inv| self.recs[*inv].as_ref().map_or((0.0, 0), |rec| (rec.value, rec.seq));
-        self.held.iter().copied().min_by(|a, b| {
+        let may = |inv: &Inv| {
+            !calls || self.recs[*inv].as_ref().is_some_and(|rec| self.ops[rec.op].set.calls)
+        };
+        self.held.iter().copied().filter(may).min_by(|a, b| {
             let (a, b) = (by(a), by(b));
             a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
         })
