--- a/src/brain.rs
+++ b/src/brain.rs
@@ -446,7 +446,7 @@
             let failed = first.is_some_and(|first| first.at == At::Over && first.begun && !first.succeeded);
             let answered = first.is_some_and(|first| first.at != At::Over && first.answered);
             if (failed || answered) && effect != Effect::Idempotent {
-                self.rec(a.inv).map(|rec| rec.begun = true); // some try of it has run: no throttling
+                self.edit(a.inv, |rec| rec.begun = true); // some try of it has run: no throttling
                 self.give_up(now, a.inv, false, host);
                 return Step::End;
             }
@@ -467,7 +467,7 @@
             }
             host.keep(a.inv, span);
             self.used_kb += self.entry_kb;
-            self.rec(a.inv).map(|rec| rec.kept_until = now + span);
+            self.edit(a.inv, |rec| rec.kept_until = now + span);
         }
         Step::Pass
     }
@@ -554,7 +554,7 @@
         {
             let no_calls = parked as f64 >= self.cores * PARKED;
             let Some(inv) = self.draw(no_calls) else { break };
-            self.rec(inv).map(|rec| rec.begun = true);
+            self.edit(inv, |rec| rec.begun = true);
             self.shift(now, inv, At::Running);
             self.set_alarm(now, inv);
             host.run(inv);
@@ -661,7 +661,7 @@
     }
 
     fn repeats_back(&mut self, _now: Time, inv: Inv, how: Outcome) {
-        self.rec(inv).map(|rec| rec.succeeded = how == Outcome::Succeeded && !rec.answered);
+        self.edit(inv, |rec| rec.succeeded = how == Outcome::Succeeded && !rec.answered);
     }
 
     // ---- due times ----
@@ -693,13 +693,15 @@
     }
 
     fn set_alarm(&mut self, now: Time, inv: Inv) {
-        let need = self.need(inv) as Time;
+        let (need, tick) = (self.need(inv) as Time, self.tick);
+        let stops = self.halt != Halt::Never;
         let Some(rec) = self.rec(inv) else { return };
         let next = match rec.at {
             At::Over => rec.kept_until,
             At::Following => rec.due,
             At::Held => (rec.goal - need).max(now + 1).min(rec.due),
             _ if rec.goal > now => rec.goal.min(rec.due),
+            At::Running if stops => rec.due.min(now + tick),
             _ => rec.due,
         };
         let before = std::mem::replace(&mut rec.alarm, next);
@@ -767,6 +769,12 @@
         self.recs.get_mut(inv)?.as_mut()
     }
 
+    fn edit(&mut self, inv: Inv, change: impl FnOnce(&mut Rec)) {
+        if let Some(rec) = self.rec(inv) {
+            change(rec);
+        }
+    }
+
     fn effect(&self, inv: Inv) -> Effect {
         let rec = self.recs.get(inv).and_then(Option::as_ref);
         rec.map_or(Effect::Idempotent, |rec| self.ops[rec.op].set.effect)
@@ -843,9 +851,8 @@
 
     fn least(&self, calls: bool) -> Option<Inv> {
         let by = |inv: &Inv| self.recs[*inv].as_ref().map_or((0.0, 0), |rec| (rec.value, rec.seq));
-        let may = |inv: &Inv| {
-            !calls || self.recs[*inv].as_ref().is_some_and(|rec| self.ops[rec.op].set.calls)
-        };
+        let may =
+            |inv: &Inv| !calls || self.recs[*inv].as_ref().is_some_and(|rec| self.ops[rec.op].set.calls);
         self.held.iter().copied().filter(may).min_by(|a, b| {
             let (a, b) = (by(a), by(b));
             a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
@@ -879,7 +886,7 @@
             elapsed += (rec.placed + here) as f64;
             sizes += rec.size;
         }
-        self.pace = if sizes > 0.0 { ended.max(elapsed / sizes) } else { ended };
+        self.pace = ended.max((elapsed + PRIOR) / (sizes + PRIOR));
     }
 
     /// The run cap follows the cores: up while they idle and work waits, back when they are crowded.
