Runs give way to reading once arrivals have lain unread too long

The run cap now falls under the core count while the mean unread time is past 0.4 of the shortest objective.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,9 @@
 const GROWTH: f64 = 1.0;
 /// Wanting more than this many cores a core is a crowd: the cap falls back.
 const CROWD: f64 = 1.25;
+/// Unread time, as a part of the shortest objective, past which runs give way to reading, and how fast.
+const UNREAD: f64 = 0.4;
+const YIELD: f64 = 4.0;
 /// Part of the survivable crowd that runs and parked calls together may reach.
 const SURVIVE: f64 = 0.7;
 /// Parked invocations (at a call or waiting for one) a core, past which none that calls is started.
@@ -171,6 +174,8 @@
     cap: f64,
     pace: f64,
     crowd: f64,
+    unread: f64,
+    unread_most: f64,
     call_time: f64,
     last: Time,
     advert_at: Time,
@@ -233,6 +238,8 @@
             cap: cores,
             pace: 1.0,
             crowd: 0.0,
+            unread: 0.0,
+            unread_most: shortest as f64 * UNREAD,
             call_time: 0.0,
             last: now,
             advert_at: now,
@@ -283,6 +290,7 @@
             kept_until: Time::MIN,
         };
         self.seq += 1;
+        self.unread += (a.unread as f64 - self.unread) * NEWEST;
         if self.recs.len() <= a.inv {
             self.recs.resize_with(a.inv + 1, || None);
         }
@@ -867,6 +875,7 @@
     /// Class scales and the pace (time a place is held for a unit of scaled hint) over the same period.
     fn measure(&mut self, now: Time, span: f64) {
         let keep = MEMORY_OF_RUNS.powf(span / SECOND as f64);
+        self.unread *= keep;
         for op in &mut self.ops {
             op.took *= keep;
             op.hinted *= keep;
@@ -891,9 +900,20 @@
 
     /// The run cap follows the cores: up while they idle and work waits, back when they are crowded.
     fn grow(&mut self, gauges: Gauges, span: f64) {
+        let step = GROWTH * self.cores * span / SECOND as f64;
+        // Guards against work growing old unread: reading shares the cores with what runs, so when it lags,
+        // runs give way, under the core count if need be. Holds for any cause that slows all the server
+        // does; may hurt where a pause of the whole process, not crowded cores, kept arrivals unread.
+        if self.unread > self.unread_most {
+            self.cap = (self.cap - step * YIELD).max(1.0);
+            return;
+        }
+        if self.cap < self.cores {
+            self.cap += step;
+            return;
+        }
         let (Some(busy), Some(wanting)) = (gauges.core_use, gauges.on_cores) else { return };
         self.crowd += (wanting / self.cores - self.crowd) * NEWEST;
-        let step = GROWTH * self.cores * span / SECOND as f64;
         if self.crowd > CROWD && busy > FULL {
             self.cap -= step;
         } else if busy < FULL && !self.held.is_empty() && self.running as f64 + 1.0 > self.cap {
