--- a/src/brain.rs
+++ b/src/brain.rs
@@ -529,6 +529,8 @@
     }
 
     /// A line no longer than its objectives allow; of what must go, the least valued, then the newest.
+    /// Callers are asked not to try elsewhere: a full line here tends to be a full fleet, where each further
+    /// try costs its reading. May hurt where only this server is full.
     fn hold_in(&mut self, now: Time, a: &Arrival, host: &mut dyn Host) -> Step {
         loop {
             let Some(rec) = self.recs[a.inv].as_ref().filter(|rec| rec.at == At::Held) else {
@@ -544,8 +546,7 @@
             }
             let Some(victim) = self.least(no_calls) else { break };
             self.shed += self.recs[victim].as_ref().is_some_and(|rec| rec.in_share) as usize;
-            let over = self.recs[victim].as_ref().is_some_and(|rec| !rec.in_share);
-            self.give_up(now, victim, over, host);
+            self.give_up(now, victim, true, host);
         }
         self.set_alarm(now, a.inv);
         Step::Keep
