--- a/src/brain.rs
+++ b/src/brain.rs
@@ -325,7 +325,7 @@
             self.lingering.insert((now + self.lingers, self.seq));
             self.seq += 1;
         }
-        if unproven {
+        if how == Outcome::Succeeded {
             let first = self.call_time == 0.0;
             self.call_time += (took as f64 - self.call_time) * if first { 1.0 } else { NEWEST };
         }
