--- a/src/api.rs
+++ b/src/api.rs
@@ -15,16 +15,18 @@
 }
 
 /// What stopping a running invocation does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Halt {
+    #[default]
     Never,
     Discard,
     Freeze,
 }
 
 /// What callers take the advertised value to mean.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Say {
+    #[default]
     Nothing,
     Floor,
     Allowance,
@@ -32,8 +34,9 @@
 }
 
 /// What invocations call while they run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Below {
+    #[default]
     Nothing,
     Tier,
     Shared,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,9 +39,16 @@
 const PARKED: f64 = 3.0;
 /// Calls out a core, to a tier.
 const CALLING: f64 = 2.0;
-/// Part of `calls_out` that is used, and part of its window that may be used ahead.
-const LENT: f64 = 0.3;
-const AHEAD: f64 = 0.1;
+/// Part of `calls_out` that is used: at least, at most, and its rise and fall a second; it grows while calls take
+/// less than this multiple of their least mean time, which itself drifts up by this part a second.
+const LENT_LEAST: f64 = 0.38;
+const LENT_MOST: f64 = 0.6;
+const LENT_STEP: f64 = 0.2;
+const LENT_FALL: f64 = 1.0;
+const CALLS_FAST: f64 = 1.4;
+const CALLS_DRIFT: f64 = 0.01;
+/// Part of the window of `calls_out` that may be used ahead.
+const AHEAD: f64 = 0.04;
 /// Memory: nothing starts past this part of it; past it the largest held is throttled.
 const HIGH: f64 = 0.85;
 /// Seconds of a customer's local share that may come at once.
@@ -64,8 +71,9 @@
 const OUT_LEAST: f64 = 1.0;
 const OUT_MOST: f64 = 8.0;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum At {
+    #[default]
     Held,
     Running,
     /// At a call that has not been let out.
@@ -89,6 +97,7 @@
     [Brain::drain_in, Brain::repeats_in, Brain::share_in, Brain::due_in, Brain::memory_in, Brain::hold_in];
 const BACK: [Back; 3] = [Brain::calls_back, Brain::cap_back, Brain::repeats_back];
 
+#[derive(Default)]
 struct Rec {
     seq: u64,
     op: usize,
@@ -131,6 +140,7 @@
     tokens: f64,
 }
 
+#[derive(Default)]
 pub struct Brain {
     ops: Vec<Op>,
     customers: Vec<Customer>,
@@ -148,6 +158,8 @@
     say: Say,
     below: Below,
     calls_out: f64,
+    lent: f64,
+    call_base: f64,
     credit_most: f64,
     lingers: Time,
     fresh: Time,
@@ -212,7 +224,9 @@
             halt: set.halt,
             say: set.say,
             below: set.below,
-            calls_out: set.calls_out * LENT,
+            calls_out: set.calls_out,
+            lent: LENT_LEAST,
+            call_base: 0.0,
             credit_most: set.calls_out * AHEAD * set.calls_over as f64,
             lingers: set.lingers,
             fresh: set.fresh,
@@ -222,33 +236,13 @@
             tick: ((set.slack as f64 * TICK_OF_SLACK) as Time).clamp(10, TICK_MAX),
             line_most: shortest as f64 * LINE,
             seed: set.seed,
-            drawn: 0,
-            seq: 0,
-            recs: Vec::new(),
-            held: Vec::new(),
-            active: Vec::new(),
-            asking: Vec::new(),
-            dues: BTreeSet::new(),
-            running: 0,
-            calling: 0,
-            lingering: BTreeSet::new(),
-            credit: 0.0,
-            used_kb: 0.0,
-            line: 0.0,
             cap: cores,
             pace: 1.0,
-            crowd: 0.0,
-            unread: 0.0,
             unread_most: shortest as f64 * UNREAD,
-            call_time: 0.0,
             last: now,
             advert_at: now,
             out_most: cores * OUT_MOST,
-            floor: 0.0,
-            shed: 0,
-            leaving: None,
-            crowded_out: false,
-            calls_slow: false,
+            ..Brain::default()
         };
         if set.deep_checks {
             host.health(true, true);
@@ -277,17 +271,9 @@
             arrived,
             goal: goal.min(due),
             due,
-            at: At::Held,
-            begun: false,
-            answered: false,
-            succeeded: false,
-            placed_from: 0,
-            placed: 0,
-            parked_from: 0,
-            parked: 0,
-            calls: 0,
             alarm: Time::MAX,
             kept_until: Time::MIN,
+            ..Rec::default()
         };
         self.seq += 1;
         self.unread += (a.unread as f64 - self.unread) * NEWEST;
@@ -610,7 +596,7 @@
         loop {
             let out = (self.calling + self.lingering.len()) as f64;
             let may = match self.below {
-                Below::Shared => self.credit >= 0.0 && out < (self.calls_out / LENT).max(1.0).floor(),
+                Below::Shared => self.credit >= 0.0 && out < self.calls_out.max(1.0).floor(),
                 _ => out < self.cores * CALLING,
             };
             let by = |inv: &Inv| self.recs[*inv].as_ref().map_or((0.0, 0), |rec| (rec.value, rec.seq));
@@ -649,7 +635,14 @@
             self.lingering.pop_first();
         }
         let out = (self.calling + self.lingering.len()) as f64;
-        self.credit = (self.credit + (self.calls_out - out) * span).min(self.credit_most);
+        let seconds = span / SECOND as f64;
+        let drift = (self.call_time - self.call_base) * CALLS_DRIFT * seconds;
+        self.call_base = if self.call_base == 0.0 { self.call_time } else { self.call_base + drift };
+        self.call_base = self.call_base.min(self.call_time);
+        let fast = self.call_time < self.call_base * CALLS_FAST;
+        let step = if fast { LENT_STEP } else { -LENT_FALL } * seconds;
+        self.lent = (self.lent + step).clamp(LENT_LEAST, LENT_MOST);
+        self.credit = (self.credit + (self.calls_out * self.lent - out) * span).min(self.credit_most);
     }
 
     // ---- the way back ----
@@ -855,7 +848,7 @@
         }
         let calls = |inv: &&Inv| self.recs[**inv].as_ref().is_some_and(|rec| self.ops[rec.op].set.calls);
         let owed = self.asking.len() + self.held.iter().filter(calls).count();
-        owed as f64 * self.call_time / self.calls_out.max(0.01)
+        owed as f64 * self.call_time / (self.calls_out * self.lent).max(0.01)
     }
 
     fn least(&self, calls: bool) -> Option<Inv> {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -4,7 +4,8 @@
 //!   customer RATE                      a customer
 //!   TIME arrive INV [NAME=VALUE ...]   op, work, kb, unread, budget, repeats, customer
 //!   TIME needs|left|leave N            a call is needed, a caller has left, notice to leave
-//!   TIME end|called INV OUTCOME        how a run or a call ended
+//!   TIME end INV OUTCOME               how a run ended
+//!   TIME called INV OUTCOME TOOK       how a call ended
 //!   TIME pass                          only time passes; ticks come by themselves
 //!   expect ACTION ...                  among the actions since the event before (words must match as far as given)
 //!   never ACTION ...                   among all actions of the whole file
@@ -246,7 +247,7 @@
                     "left" => brain.caller_left(now, inv(), &mut seen),
                     "leave" => brain.leaving(now, ms(words[2]), &mut seen),
                     "end" => brain.run_ended(now, inv(), outcome(words[3]), &mut seen),
-                    "called" => brain.call_ended(now, inv(), outcome(words[3]), 500, &mut seen),
+                    "called" => brain.call_ended(now, inv(), outcome(words[3]), ms(words[4]), &mut seen),
                     "pass" => {}
                     _ => panic!("no event {line}"),
                 }
