--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,8 @@
 const GROWTH: f64 = 1.0;
 /// Wanting more than this many cores a core is a crowd: the cap falls back.
 const CROWD: f64 = 1.25;
+/// The cap falls back to this part of the cores at least; what returns from calls and reading fill the rest.
+const CAP_LEAST: f64 = 0.5;
 /// Unread time, as a part of the shortest objective, past which runs give way to reading, and how fast.
 const UNREAD: f64 = 0.4;
 const YIELD: f64 = 4.0;
@@ -902,7 +904,7 @@
             self.cap = (self.cap - step * YIELD).max(1.0);
             return;
         }
-        if self.cap < self.cores {
+        if self.cap < self.cores * CAP_LEAST {
             self.cap += step;
             return;
         }
@@ -913,7 +915,7 @@
         } else if busy < FULL && !self.held.is_empty() && self.running as f64 + 1.0 > self.cap {
             self.cap += step;
         }
-        self.cap = self.cap.clamp(self.cores, self.cores * self.tip * SURVIVE);
+        self.cap = self.cap.clamp(self.cores * CAP_LEAST, self.cores * self.tip * SURVIVE);
     }
 
     /// Tells callers how much to send: less while in-share invocations had to be shed, then slowly more.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -6,6 +6,7 @@
 //!   TIME needs|left|leave N            a call is needed, a caller has left, notice to leave
 //!   TIME end INV OUTCOME               how a run ended
 //!   TIME called INV OUTCOME TOOK       how a call ended
+//!   TIME gauges CORE_USE ON_CORES      what ticks report from now on
 //!   TIME pass                          only time passes; ticks come by themselves
 //!   expect ACTION ...                  among the actions since the event before (words must match as far as given)
 //!   never ACTION ...                   among all actions of the whole file
@@ -211,6 +212,7 @@
 fn play(text: &str) -> Result<(), String> {
     let mut settings = settings();
     let (mut brain, mut seen, mut now, mut tick_at, mut from) = (None, Seen::default(), 0, Time::MAX, 0);
+    let mut gauges = Gauges::default();
     let has = |actions: &[String], wanted: &str| {
         actions.iter().any(|action| action == wanted || action.starts_with(&format!("{wanted} ")))
     };
@@ -237,7 +239,7 @@
                         break;
                     }
                     now = tick_at;
-                    brain.tick(now, Gauges::default(), &mut seen);
+                    brain.tick(now, gauges, &mut seen);
                 }
                 now = time;
                 let inv = || words[2].parse::<Inv>().unwrap();
@@ -248,6 +250,10 @@
                     "leave" => brain.leaving(now, ms(words[2]), &mut seen),
                     "end" => brain.run_ended(now, inv(), outcome(words[3]), &mut seen),
                     "called" => brain.call_ended(now, inv(), outcome(words[3]), ms(words[4]), &mut seen),
+                    "gauges" => {
+                        let [use_, on] = [words[2], words[3]].map(|word| word.parse().ok());
+                        gauges = Gauges { core_use: use_, on_cores: on, ..Gauges::default() };
+                    }
                     "pass" => {}
                     _ => panic!("no event {line}"),
                 }
