Turn away on arrival only what is past its objective; keep what may still meet it

Cause: the expected time is rough, and invocations it gave up on were often met. An arrival now goes only when it lay unread past its objective; a held one when not even half its expected time is left. A stage and its exception for idle servers fall away.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -60,8 +60,8 @@
 const FIT: f64 = 0.5;
 /// Time an answer needs on its way, taken off the objective.
 const WAY: Time = 100;
-/// Places that must be taken before an invocation is turned away for what it is expected to take.
-const PROBE: f64 = 0.5;
+/// A held one is turned away when not even this part of the time it is expected to take is left.
+const SURE: f64 = 0.5;
 /// Calls for one need, while each earlier one proved or may be repeated.
 const CALL_TRIES: u32 = 2;
 /// Shortest time worth a call.
@@ -482,24 +482,17 @@
         Step::Pass
     }
 
-    /// What can't meet its objective goes at once, where it may still be met elsewhere.
+    /// What lay unread past its objective goes at once; what may still meet it stays, for estimates are rough.
     fn due_in(&mut self, now: Time, a: &Arrival, host: &mut dyn Host) -> Step {
-        if (self.running as f64) < self.cores * PROBE {
-            return Step::Pass; // an idle server tries all the same: else a wrong estimate would stay
+        if self.rec(a.inv).is_some_and(|rec| rec.goal <= now) {
+            self.due(now, a.inv, host);
         }
-        let need = self.need(a.inv);
-        let late = self.ops[a.op].set.late;
-        let Some(rec) = self.rec(a.inv) else { return Step::End };
-        if now as f64 + need > rec.goal as f64 {
-            if late > 0.0 && (now as f64 + need) < rec.due as f64 {
-                rec.goal = rec.due;
-                rec.value *= late;
-                return Step::Pass;
-            }
-            self.give_up(now, a.inv, false, host);
-            return Step::End;
+        let held = self.rec(a.inv).is_some_and(|rec| rec.at == At::Held);
+        if held {
+            Step::Pass
+        } else {
+            Step::End
         }
-        Step::Pass
     }
 
     /// Past the high mark the largest held goes, until the rest fits.
@@ -681,7 +674,7 @@
             At::Over => return self.release(inv, host),
             _ if rec.answered => return,
             _ if now >= rec.due => return self.fail(now, inv, host),
-            At::Held if now as f64 + need >= rec.goal as f64 => {
+            At::Held if now as f64 + need * SURE >= rec.goal as f64 => {
                 if late <= 0.0 || rec.goal >= rec.due {
                     return self.give_up(now, inv, false, host);
                 }
@@ -697,7 +690,7 @@
     }
 
     fn set_alarm(&mut self, now: Time, inv: Inv) {
-        let (need, tick) = (self.need(inv) as Time, self.tick);
+        let (need, tick) = ((self.need(inv) * SURE) as Time, self.tick);
         let stops = self.halt != Halt::Never;
         let Some(rec) = self.rec(inv) else { return };
         let next = match rec.at {
