Fewer calls to a tier that turns some away, and callers shed that can't call in time

The bound on calls out falls by a fifth with each period in which one is turned away and rises with those that come back.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,8 +39,11 @@
 const SURVIVE: f64 = 0.7;
 /// Parked invocations (at a call or waiting for one) a core, past which none that calls is started.
 const PARKED: f64 = 3.0;
-/// Calls out a core, to a tier.
-const CALLING: f64 = 2.0;
+/// Calls out to a tier: at most this many a core, less by this factor when one is turned away, then more by this
+/// much with each that comes back.
+const CALLING: f64 = 3.0;
+const CALLING_FALL: f64 = 0.8;
+const CALLING_RISE: f64 = 0.1;
 /// Part of `calls_out` that is used: at least, at most, and its rise and fall a second; it grows while calls take
 /// less than this multiple of their least mean time, which itself drifts up by this part a second.
 const LENT_LEAST: f64 = 0.38;
@@ -191,6 +194,8 @@
     unread: f64,
     unread_most: f64,
     call_time: f64,
+    calls_most: f64,
+    calls_cut: Time,
     last: Time,
     advert_at: Time,
     out_most: f64,
@@ -239,6 +244,7 @@
             line_most: shortest as f64 * LINE,
             seed: set.seed,
             cap: cores,
+            calls_most: cores * CALLING,
             pace: 1.0,
             unread_most: shortest as f64 * UNREAD,
             last: now,
@@ -317,6 +323,15 @@
             let first = self.call_time == 0.0;
             self.call_time += (took as f64 - self.call_time) * if first { 1.0 } else { NEWEST };
         }
+        // Guards the tier below, and the work that waits on it, against more calls than it takes: part of its
+        // reading goes to calls it then turns away. Holds whatever made it too small; may hurt where only one
+        // of its servers turns away.
+        if how == Outcome::Succeeded {
+            self.calls_most = (self.calls_most + CALLING_RISE).min(self.cores * CALLING);
+        } else if !unproven && now >= self.calls_cut {
+            self.calls_most = (self.calls_most * CALLING_FALL).max(1.0);
+            self.calls_cut = now + self.call_time as Time;
+        }
         if answered {
             return; // its end follows
         }
@@ -592,7 +607,7 @@
             let out = (self.calling + self.lingering.len()) as f64;
             let may = match self.below {
                 Below::Shared => self.credit >= 0.0 && out < self.calls_out.max(1.0).floor(),
-                _ => out < self.cores * CALLING,
+                _ => out < self.calls_most,
             };
             let by = |inv: &Inv| self.recs[*inv].as_ref().map_or((0.0, 0), |rec| (rec.value, rec.seq));
             let best = self.asking.iter().copied().max_by(|a, b| {
@@ -838,12 +853,10 @@
 
     /// Time until the calls owed by all that is here have gone out, where their number is bound.
     fn calls_line(&self) -> f64 {
-        if self.below != Below::Shared {
-            return 0.0;
-        }
         let calls = |inv: &&Inv| self.recs[**inv].as_ref().is_some_and(|rec| self.ops[rec.op].set.calls);
         let owed = self.asking.len() + self.held.iter().filter(calls).count();
-        owed as f64 * self.call_time / (self.calls_out * self.lent).max(0.01)
+        let most = if self.below == Below::Shared { self.calls_out * self.lent } else { self.calls_most };
+        owed as f64 * self.call_time / most.max(0.01)
     }
 
     fn least(&self, calls: bool) -> Option<Inv> {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -9,6 +9,7 @@
 //!   TIME gauges CORE_USE ON_CORES      what ticks report from now on
 //!   TIME pass                          only time passes; ticks come by themselves
 //!   expect ACTION ...                  among the actions since the event before (words must match as far as given)
+//!   refuse ACTION ...                  not among them
 //!   never ACTION ...                   among all actions of the whole file
 
 use cypresscleat::api::*;
@@ -226,7 +227,10 @@
             "expect" if !has(&seen.actions[from..], &words[1..].join(" ")) => {
                 return Err(format!("line {}: {line}; seen {:?}", at + 1, &seen.actions[from..]));
             }
-            "expect" | "never" => {}
+            "refuse" if has(&seen.actions[from..], &words[1..].join(" ")) => {
+                return Err(format!("line {}: {line}; seen {:?}", at + 1, &seen.actions[from..]));
+            }
+            "expect" | "refuse" | "never" => {}
             _ => {
                 let brain = brain.get_or_insert_with(|| Brain::start(0, settings.clone(), &mut seen));
                 let time = ms(first);
