--- a/src/brain.rs
+++ b/src/brain.rs
@@ -464,6 +464,7 @@
             if !unrun && !failed && !answered {
                 self.shift(now, a.inv, At::Following);
                 host.reuse(a.inv);
+                self.set_alarm(now, a.inv);
                 return Step::Keep;
             }
         }
