The run cap moves at 0.3 a core a second, not 1

Cause: core_use is a mean over half a second, so a cap that moves by a core a second for each core overshoots into the crowd.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,7 +27,7 @@
 const SCALE_SPAN: f64 = 4.0;
 /// Run cap: cores busier than this are full; grows under it while work waits, by this part of a core a second.
 const FULL: f64 = 0.93;
-const GROWTH: f64 = 1.0;
+const GROWTH: f64 = 0.3;
 /// Wanting more than this many cores a core is a crowd: the cap falls back.
 const CROWD: f64 = 1.25;
 /// The cap falls back to this part of the cores at least; what returns from calls and reading fill the rest.
