--- a/src/api.rs
+++ b/src/api.rs
@@ -147,12 +147,10 @@
     fn skip_call(&mut self, inv: Inv);
     /// Keep an entry so that repeats are linked to this invocation.
     fn keep(&mut self, inv: Inv, span: Time);
-    fn forget(&mut self, inv: Inv);
     /// Answer from the result of the invocation this one repeats.
     fn reuse(&mut self, inv: Inv);
     fn health(&mut self, good: bool, stored: bool);
     fn advertise(&mut self, value: f64);
-    fn close_idle(&mut self, after: Time);
     fn wake(&mut self, after: Time);
     fn log(&mut self, line: &str);
     /// The module knows nothing more of this invocation; its index may be used again.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,6 +7,7 @@
 //! Same events, same actions: no clock, no shared state, chance only from the seed and a counter.
 
 use crate::api::*;
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -455,13 +456,12 @@
             // One that ended without having run leaves the way free; one no longer known has run.
             let unrun = first.is_some_and(|first| first.at == At::Over && !first.begun);
             let failed = first.is_some_and(|first| first.at == At::Over && first.begun && !first.succeeded);
-            let answered = first.is_some_and(|first| first.at != At::Over && first.answered);
-            if (failed || answered) && effect != Effect::Idempotent {
+            if failed && effect != Effect::Idempotent {
                 self.edit(a.inv, |rec| rec.begun = true); // some try of it has run: no throttling
                 self.give_up(now, a.inv, false, host);
                 return Step::End;
             }
-            if !unrun && !failed && !answered {
+            if !unrun && !failed {
                 self.shift(now, a.inv, At::Following);
                 host.reuse(a.inv);
                 self.set_alarm(now, a.inv);
@@ -503,11 +503,9 @@
         if self.rec(a.inv).is_some_and(|rec| rec.goal <= now) {
             self.due(now, a.inv, host);
         }
-        let held = self.rec(a.inv).is_some_and(|rec| rec.at == At::Held);
-        if held {
-            Step::Pass
-        } else {
-            Step::End
+        match self.rec(a.inv) {
+            Some(rec) if rec.at == At::Held => Step::Pass,
+            _ => Step::End,
         }
     }
 
@@ -610,11 +608,7 @@
                 Below::Shared => self.credit >= 0.0 && out < self.calls_out.max(1.0).floor(),
                 _ => out < self.calls_most,
             };
-            let by = |inv: &Inv| self.recs[*inv].as_ref().map_or((0.0, 0), |rec| (rec.value, rec.seq));
-            let best = self.asking.iter().copied().max_by(|a, b| {
-                let (a, b) = (by(a), by(b));
-                a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
-            });
+            let best = self.asking.iter().copied().max_by(|a, b| self.by_value(*a, *b));
             let (true, Some(inv)) = (may, best) else { return };
             let Some(rec) = self.rec(inv) else { return };
             let left = rec.goal - now;
@@ -674,7 +668,7 @@
     }
 
     fn repeats_back(&mut self, _now: Time, inv: Inv, how: Outcome) {
-        self.edit(inv, |rec| rec.succeeded = how == Outcome::Succeeded && !rec.answered);
+        self.edit(inv, |rec| rec.succeeded = how == Outcome::Succeeded);
     }
 
     // ---- due times ----
@@ -861,13 +855,16 @@
     }
 
     fn least(&self, calls: bool) -> Option<Inv> {
-        let by = |inv: &Inv| self.recs[*inv].as_ref().map_or((0.0, 0), |rec| (rec.value, rec.seq));
         let may =
             |inv: &Inv| !calls || self.recs[*inv].as_ref().is_some_and(|rec| self.ops[rec.op].set.calls);
-        self.held.iter().copied().filter(may).min_by(|a, b| {
-            let (a, b) = (by(a), by(b));
-            a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
-        })
+        self.held.iter().copied().filter(may).min_by(|a, b| self.by_value(*a, *b))
+    }
+
+    /// Less billed value first; of equals the newer first.
+    fn by_value(&self, a: Inv, b: Inv) -> Ordering {
+        let key = |inv: Inv| self.recs[inv].as_ref().map_or((0.0, 0), |rec| (rec.value, rec.seq));
+        let (a, b) = (key(a), key(b));
+        a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
     }
 
     fn warm(&self, now: Time) -> f64 {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -44,9 +44,6 @@
     fn keep(&mut self, inv: Inv, span: Time) {
         self.actions.push(format!("keep {inv} {}", span / 10));
     }
-    fn forget(&mut self, inv: Inv) {
-        self.actions.push(format!("forget {inv}"));
-    }
     fn reuse(&mut self, inv: Inv) {
         self.actions.push(format!("reuse {inv}"));
     }
@@ -56,7 +53,6 @@
     fn advertise(&mut self, value: f64) {
         self.actions.push(format!("advertise {value}"));
     }
-    fn close_idle(&mut self, _after: Time) {}
     fn wake(&mut self, after: Time) {
         self.wake = Some(after);
     }
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -65,9 +65,6 @@
     fn keep(&mut self, inv: Inv, span: Time) {
         self.line("RETAIN", inv, format_args!(" {}", span * NS));
     }
-    fn forget(&mut self, inv: Inv) {
-        self.line("EVICT", inv, format_args!(""));
-    }
     fn reuse(&mut self, inv: Inv) {
         self.line("ANSWER_FROM", inv, format_args!(""));
     }
@@ -77,9 +74,6 @@
     fn advertise(&mut self, value: f64) {
         let _ = writeln!(self.out, "HINT_OUT {} {value:.4}", self.who);
     }
-    fn close_idle(&mut self, after: Time) {
-        let _ = writeln!(self.out, "CLOSE_IDLE {} {}", self.who, after * NS);
-    }
     fn wake(&mut self, after: Time) {
         let _ = writeln!(self.out, "SET_TIMER {} {} 1", self.who, after * NS);
     }
