--- a/src/brain.rs
+++ b/src/brain.rs
@@ -75,7 +75,7 @@
 /// Advertised value: how often it is set, and bounds of what callers may have out with us, a core.
 const ADVERT: Time = 1000;
 const OUT_LEAST: f64 = 1.0;
-const OUT_MOST: f64 = 8.0;
+const OUT_MOST: f64 = 3.0;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum At {
