--- a/src/api.rs
+++ b/src/api.rs
@@ -7,8 +7,9 @@
 pub type Inv = usize;
 
 /// Whether an invocation may run again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
+    #[default]
     Idempotent,
     Tokened,
     NonIdempotent,
@@ -42,7 +43,7 @@
     Shared,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Operation {
     pub objective: Time,
     /// The objective grows by this multiple of the invocation's own work.
@@ -60,7 +61,7 @@
 }
 
 /// The settings of one app server, as told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub operations: Vec<Operation>,
     /// Invocations per second within each customer's share, over the whole fleet.
@@ -83,7 +84,6 @@
     pub calls_over: Time,
     pub lingers: Time,
     pub fresh: Time,
-    pub deep_checks: bool,
     pub slack: Time,
     pub drain_grace: Time,
     pub tip: f64,
@@ -92,7 +92,7 @@
 }
 
 /// An invocation that was read and waits for a decision.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Arrival {
     pub inv: Inv,
     pub op: usize,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -253,9 +253,6 @@
             out_most: cores * OUT_MOST,
             ..Brain::default()
         };
-        if set.deep_checks {
-            host.health(true, true);
-        }
         host.wake(brain.tick);
         brain
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -84,7 +84,6 @@
         calls_over: 50_000,
         lingers: 2_000,
         fresh: 0,
-        deep_checks: false,
         slack: 600,
         drain_grace: 10_000,
         tip: 8.0,
--- a/wirehost/src/settings.rs
+++ b/wirehost/src/settings.rs
@@ -90,7 +90,6 @@
         calls_over: span(&own["calls_over_ns"]),
         lingers: span(&own["stays_for_ns"]),
         fresh: span(&own["fresh_ns"]),
-        deep_checks: flag(&own["deep_checks"]),
         slack: span(&rules["answer_slack_ns"]),
         drain_grace: span(&rules["stop_sending_within_ns"]),
         tip: number(&rules["tip_multiple"]),
