A call whose invocation ends first counts while it may stay below

Found on reading the module top to bottom: rule 4 counts abandoned calls, but one ended by its caller's leaving was forgotten at once.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -314,8 +314,7 @@
         let unproven = !matches!(how, Outcome::Throttled | Outcome::NoConnection);
         let (op, calls, left, answered) = (rec.op, rec.calls, rec.goal - now, rec.answered);
         if how == Outcome::NoAnswer {
-            self.lingering.insert((now + self.lingers, self.seq));
-            self.seq += 1;
+            self.linger(now);
         }
         if how == Outcome::Succeeded {
             let first = self.call_time == 0.0;
@@ -647,9 +646,18 @@
         self.credit = (self.credit + (self.calls_out * self.lent - out) * span).min(self.credit_most);
     }
 
+    /// An abandoned call stays in the hands of what lies below for a while.
+    fn linger(&mut self, now: Time) {
+        self.lingering.insert((now + self.lingers, self.seq));
+        self.seq += 1;
+    }
+
     // ---- the way back ----
 
-    fn calls_back(&mut self, _now: Time, inv: Inv, how: Outcome) {
+    fn calls_back(&mut self, now: Time, inv: Inv, how: Outcome) {
+        if self.rec(inv).is_some_and(|rec| rec.at == At::Calling) {
+            self.linger(now); // ended before its call did
+        }
         let Some(rec) = self.rec(inv).filter(|_| how == Outcome::Succeeded) else { return };
         let (op, parked) = (rec.op, rec.parked as f64);
         self.ops[op].below += (parked - self.ops[op].below) * NEWEST;
