--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,7 +18,8 @@
 /// One periodic timer, as a part of the answer slack (answers at their due time come this late), and at most.
 const TICK_OF_SLACK: f64 = 0.3;
 const TICK_MAX: Time = 200;
-/// Work taken for an invocation without a hint; only its ratio to the measured run time counts.
+/// Work (tenths of a millisecond) taken for an invocation without a hint; only its ratio to the measured
+/// run time counts.
 const NO_HINT: f64 = 2000.0;
 /// What is left of measured sums after a second.
 const MEMORY_OF_RUNS: f64 = 0.8;
@@ -26,7 +27,8 @@
 const PRIOR: f64 = 4000.0;
 /// A class's scale stays within this factor of 1 either way, so one odd period can't turn the ranks round.
 const SCALE_SPAN: f64 = 4.0;
-/// Run cap: cores busier than this are full; grows under it while work waits, by this part of a core a second.
+/// Run cap: cores busier than this are full; grows under it while work waits, by this part of a core a
+/// second.
 const FULL: f64 = 0.93;
 const GROWTH: f64 = 0.3;
 /// Wanting more than this many cores a core is a crowd: the cap falls back.
@@ -40,13 +42,14 @@
 const SURVIVE: f64 = 0.7;
 /// Parked invocations (at a call or waiting for one) a core, past which none that calls is started.
 const PARKED: f64 = 3.0;
-/// Calls out to a tier: at most this many a core, less by this factor when one is turned away, then more by this
-/// much with each that comes back.
+/// Calls out to a tier: at most this many a core, less by this factor when one is turned away, then more by
+/// this much with each that comes back.
 const CALLING: f64 = 3.0;
 const CALLING_FALL: f64 = 0.8;
 const CALLING_RISE: f64 = 0.1;
-/// Part of `calls_out` that is used: at least, at most, and its rise and fall a second; it grows while calls take
-/// less than this multiple of their least mean time, which itself drifts up by this part a second.
+/// Part of `calls_out` that is used: at least, at most, and its rise and fall a second; it grows while
+/// calls take less than this multiple of their least mean time, which itself drifts up by this part a
+/// second.
 const LENT_LEAST: f64 = 0.38;
 const LENT_MOST: f64 = 0.6;
 const LENT_STEP: f64 = 0.2;
@@ -62,20 +65,30 @@
 /// Hold: the line may take this part of the shortest objective, and this part of an invocation's own slack.
 const LINE: f64 = 0.3;
 const FIT: f64 = 0.5;
-/// Time an answer needs on its way, taken off the objective.
+/// Time (tenths of a millisecond) an answer needs on its way, taken off the objective.
 const WAY: Time = 100;
 /// A held one is turned away when not even this part of the time it is expected to take is left.
 const SURE: f64 = 0.5;
 /// Calls for one need, while each earlier one proved or may be repeated.
 const CALL_TRIES: u32 = 2;
-/// Shortest time worth a call.
+/// Shortest time (tenths of a millisecond) worth a call.
 const CALL_LEAST: Time = 200;
 /// Weight of the newest in the averages of call times.
 const NEWEST: f64 = 0.1;
-/// Advertised value: how often it is set, and bounds of what callers may have out with us, a core.
+/// Advertised value: set every so many tenths of a millisecond, and bounds of what callers may have out
+/// with us, a core.
 const ADVERT: Time = 1000;
 const OUT_LEAST: f64 = 1.0;
 const OUT_MOST: f64 = 3.0;
+/// What callers may have out, at each advert: this multiple of what is out while pressed, else of the last
+/// value.
+const OUT_FALL: f64 = 0.95;
+const OUT_RISE: f64 = 1.05;
+/// Advertised floor (and what a weight lacks of 1): its change at each advert, and its most.
+const FLOOR_STEP: f64 = 0.02;
+const FLOOR_MOST: f64 = 0.8;
+/// Calls are logged as slow once their mean time passes this part of any objective.
+const CALLS_SLOW: f64 = 0.5;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum At {
@@ -384,7 +397,7 @@
     }
 
     pub fn leaving(&mut self, now: Time, within: Time, host: &mut impl Host) {
-        let stop = now + within - 2 * self.tick;
+        let stop = now + within - 2 * self.tick; // answers at due times come up to a tick late
         self.leaving = Some((now + self.drain_grace, stop));
         host.health(false, true);
         host.log(&format!("draining: held {} running {}", self.held.len(), self.active.len()));
@@ -494,7 +507,8 @@
         Step::Pass
     }
 
-    /// What lay unread past its objective goes at once; what may still meet it stays, for estimates are rough.
+    /// What lay unread past its objective goes at once; what may still meet it stays, for estimates are
+    /// rough.
     fn due_in(&mut self, now: Time, a: &Arrival, host: &mut dyn Host) -> Step {
         if self.rec(a.inv).is_some_and(|rec| rec.goal <= now) {
             self.due(now, a.inv, host);
@@ -944,7 +958,7 @@
                 self.wait() / 10.0
             ));
         }
-        let slow = self.ops.iter().any(|op| self.call_time * 2.0 > op.set.objective as f64);
+        let slow = self.ops.iter().any(|op| self.call_time > op.set.objective as f64 * CALLS_SLOW);
         if slow != self.calls_slow {
             self.calls_slow = slow;
             host.log(&format!(
@@ -957,9 +971,10 @@
         }
         let out = self.held.len() + self.active.len();
         let (least, most) = (self.cores * OUT_LEAST, self.cores * OUT_MOST);
-        let target = if pressed { self.out_most.min(out as f64) * 0.95 } else { self.out_most * 1.05 };
+        let target =
+            if pressed { self.out_most.min(out as f64) * OUT_FALL } else { self.out_most * OUT_RISE };
         self.out_most = target.clamp(least, most);
-        self.floor = (self.floor + if pressed { 0.02 } else { -0.02 }).clamp(0.0, 0.8);
+        self.floor = (self.floor + if pressed { FLOOR_STEP } else { -FLOOR_STEP }).clamp(0.0, FLOOR_MOST);
         let gone = self.leaving.is_some();
         match self.say {
             Say::Nothing => {}
