--- a/src/brain.rs
+++ b/src/brain.rs
@@ -353,9 +353,8 @@
             let barred = unproven && self.ops[op].set.effect != Effect::Idempotent;
             // Guards against retry storms below: few tries, only while there is time. Should hold for any
             // failing dependency; may hurt where a third try would have come through.
-            let again =
-                !barred && calls < CALL_TRIES && left as f64 > self.call_time && how != Outcome::NoAnswer;
-            if !again {
+            let again = calls < CALL_TRIES && left as f64 > self.call_time && how != Outcome::NoAnswer;
+            if barred || !again {
                 self.without_call(now, inv, host);
             }
         }
@@ -370,10 +369,8 @@
         for stage in BACK {
             stage(self, now, inv, how);
         }
-        let answered = self.rec(inv).is_some_and(|rec| rec.answered);
-        let final_end =
-            answered || matches!(how, Outcome::Succeeded | Outcome::Errored | Outcome::NotStarted);
-        if final_end {
+        let ended = matches!(how, Outcome::Succeeded | Outcome::Errored | Outcome::NotStarted);
+        if ended || self.rec(inv).is_some_and(|rec| rec.answered) {
             self.over(now, inv, host);
         } else {
             self.shift(now, inv, At::Held); // stopped without an answer: it waits again, or is ended below
@@ -949,25 +946,18 @@
         if pressed != self.crowded_out {
             self.crowded_out = pressed;
             let state = if pressed { "shedding" } else { "not shedding" };
+            let (held, wait) = (self.held.len(), self.wait() / 10.0);
+            let (running, cap, pace) = (self.running, self.cap, self.pace);
             host.log(&format!(
-                "{state}: held {} running {} cap {:.1} pace {:.2} wait {:.0} ms",
-                self.held.len(),
-                self.running,
-                self.cap,
-                self.pace,
-                self.wait() / 10.0
+                "{state}: held {held} running {running} cap {cap:.1} pace {pace:.2} wait {wait:.0} ms"
             ));
         }
         let slow = self.ops.iter().any(|op| self.call_time > op.set.objective as f64 * CALLS_SLOW);
         if slow != self.calls_slow {
             self.calls_slow = slow;
-            host.log(&format!(
-                "calls {}: mean {:.0} ms, {} out, {} wait",
-                if slow { "slow" } else { "not slow" },
-                self.call_time / 10.0,
-                self.calling,
-                self.asking.len()
-            ));
+            let (not, mean) = (if slow { "" } else { "not " }, self.call_time / 10.0);
+            let (out, wait) = (self.calling, self.asking.len());
+            host.log(&format!("calls {not}slow: mean {mean:.0} ms, {out} out, {wait} wait"));
         }
         let out = self.held.len() + self.active.len();
         let (least, most) = (self.cores * OUT_LEAST, self.cores * OUT_MOST);
