--- a/src/brain.rs
+++ b/src/brain.rs
@@ -84,7 +84,7 @@
 /// value.
 const OUT_FALL: f64 = 0.95;
 const OUT_RISE: f64 = 1.05;
-/// Advertised floor (and what a weight lacks of 1): its change at each advert, and its most.
+/// Advertised floor: its change at each advert, and its most.
 const FLOOR_STEP: f64 = 0.02;
 const FLOOR_MOST: f64 = 0.8;
 /// Calls are logged as slow once their mean time passes this part of any objective.
@@ -970,7 +970,7 @@
             Say::Nothing => {}
             Say::Floor => host.advertise(if gone { 1.0 } else { self.floor }),
             Say::Allowance => host.advertise(if gone { 0.0 } else { self.out_most / self.callers }),
-            Say::Weight => host.advertise(if gone { 0.0 } else { 1.0 - self.floor }),
+            Say::Weight => host.advertise(if gone { 0.0 } else { 1.0 }),
         }
     }
 }
