Close idle connections while many are open, unless the server refuses on busy cores

Change: past 8 connections a core the idle time falls by 1.2 at each advert, to 0.3 s at the least, unless more than 0.4 of the arrivals are turned away and the cores are over 0.9 busy.

The guard should hold against any cause that opens many connections; it may hurt where callers come back just after the idle time, for a handshake each.

--- a/src/api.rs
+++ b/src/api.rs
@@ -151,6 +151,8 @@
     fn reuse(&mut self, inv: Inv);
     fn health(&mut self, good: bool, stored: bool);
     fn advertise(&mut self, value: f64);
+    /// Close connections that have carried nothing for this long.
+    fn close_idle(&mut self, after: Time);
     fn wake(&mut self, after: Time);
     fn log(&mut self, line: &str);
     /// The module knows nothing more of this invocation; its index may be used again.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -90,6 +90,16 @@
 /// Calls are logged as slow once their mean time passes this part of any objective.
 const CALLS_SLOW: f64 = 0.5;
 
+/// Connections, past this many a core: closed when idle for a time that falls by this factor at each advert,
+/// within these bounds, while less than this part of arrivals is turned away or cores are less busy than
+/// this; else it rises.
+const LINKS: f64 = 8.0;
+const IDLE_STEP: f64 = 1.2;
+const IDLE_LEAST: f64 = 3_000.0;
+const IDLE_MOST: f64 = 300_000.0;
+const REFUSED: f64 = 0.4;
+const BUSY: f64 = 0.9;
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum At {
     #[default]
@@ -213,6 +223,9 @@
     last: Time,
     advert_at: Time,
     out_most: f64,
+    idle: f64,
+    refused: f64,
+    busy: f64,
     floor: f64,
     shed: usize,
     leaving: Option<(Time, Time)>,
@@ -247,7 +260,6 @@
             below: set.below,
             calls_out: set.calls_out,
             lent: LENT_LEAST,
-            call_base: 0.0,
             credit_most: set.calls_out * AHEAD * set.calls_over as f64,
             lingers: set.lingers,
             fresh: set.fresh,
@@ -262,8 +274,8 @@
             pace: 1.0,
             unread_most: shortest as f64 * UNREAD,
             last: now,
-            advert_at: now,
             out_most: cores * OUT_MOST,
+            idle: IDLE_MOST,
             ..Brain::default()
         };
         host.wake(brain.tick);
@@ -304,11 +316,12 @@
         self.recs[a.inv] = Some(rec);
         self.held.push(a.inv);
         for stage in IN {
-            match stage(self, now, &a, host) {
-                Step::Pass => {}
-                Step::Keep | Step::End => break,
+            if !matches!(stage(self, now, &a, host), Step::Pass) {
+                break;
             }
         }
+        let kept = self.rec(a.inv).is_some_and(|rec| !rec.answered);
+        self.refused += (if kept { 0.0 } else { 1.0 } - self.refused) * NEWEST;
         self.fill(now, host);
     }
 
@@ -363,9 +376,7 @@
     }
 
     pub fn run_ended(&mut self, now: Time, inv: Inv, how: Outcome, host: &mut impl Host) {
-        if self.rec(inv).filter(|rec| rec.at != At::Over).is_none() {
-            return;
-        }
+        let Some(_) = self.of(inv).filter(|rec| rec.at != At::Over) else { return };
         for stage in BACK {
             stage(self, now, inv, how);
         }
@@ -424,6 +435,7 @@
         }
         self.measure(now, span);
         self.grow(gauges, span);
+        self.connections(now, gauges, host);
         self.lend(now, span);
         if now >= self.advert_at {
             self.advertise(now, host);
@@ -495,11 +507,8 @@
         if let Some(customer) = a.customer.and_then(|c| self.customers.get_mut(c)) {
             let in_share = customer.tokens >= 1.0;
             customer.tokens -= if in_share { 1.0 } else { 0.0 };
-            let over_share = self.over_share;
-            if let Some(rec) = self.rec(a.inv).filter(|_| !in_share) {
-                rec.in_share = false;
-                rec.value *= over_share;
-            }
+            let part = if in_share { 1.0 } else { self.over_share };
+            self.edit(a.inv, |rec| (rec.in_share, rec.value) = (in_share, rec.value * part));
         }
         Step::Pass
     }
@@ -519,8 +528,7 @@
     /// Past the high mark the largest held goes, until the rest fits.
     fn memory_in(&mut self, now: Time, a: &Arrival, host: &mut dyn Host) -> Step {
         while self.used_kb > self.high_kb {
-            let key =
-                |inv: &Inv| self.recs[*inv].as_ref().map_or((0, 0), |rec| ((rec.kb * 16.0) as u64, rec.seq));
+            let key = |inv: &Inv| self.of(*inv).map_or((0, 0), |rec| ((rec.kb * 16.0) as u64, rec.seq));
             let Some(largest) = self.held.iter().copied().max_by_key(key) else { break };
             self.give_up(now, largest, false, host);
             if largest == a.inv {
@@ -541,13 +549,12 @@
             let room = (FIT * ((rec.goal - now) as f64 - self.need(a.inv))).min(self.line_most);
             let free = self.cap - self.running as f64 >= self.held.len() as f64;
             let ahead = self.wait() - rec.size * self.pace / self.cap;
-            let calls = self.ops[rec.op].set.calls;
-            let no_calls = calls && self.calls_line() > FIT * (rec.goal - now) as f64;
+            let no_calls = self.calls(a.inv) && self.calls_line() > FIT * (rec.goal - now) as f64;
             if !no_calls && (free || ahead <= room.max(0.0)) {
                 break;
             }
             let Some(victim) = self.least(no_calls) else { break };
-            self.shed += self.recs[victim].as_ref().is_some_and(|rec| rec.in_share) as usize;
+            self.shed += self.of(victim).is_some_and(|rec| rec.in_share) as usize;
             self.give_up(now, victim, true, host);
         }
         self.set_alarm(now, a.inv);
@@ -576,10 +583,9 @@
     /// start (their running bytes pass the high mark, or they call while too many are parked) have no rank.
     fn draw(&mut self, no_calls: bool) -> Option<Inv> {
         let fits = |inv: &&Inv| {
-            self.recs[**inv].as_ref().is_some_and(|rec| {
-                let calls = no_calls && self.below != Below::Nothing && self.ops[rec.op].set.calls;
-                self.used_kb + rec.kb * (self.blowup - 1.0) <= self.high_kb && !calls
-            })
+            let calls = no_calls && self.below != Below::Nothing && self.calls(**inv);
+            let grows = |rec: &Rec| rec.kb * (self.blowup - 1.0);
+            !calls && self.of(**inv).is_some_and(|rec| self.used_kb + grows(rec) <= self.high_kb)
         };
         let mut ranked: Vec<Inv> = self.held.iter().filter(fits).copied().collect();
         if ranked.is_empty() {
@@ -589,8 +595,7 @@
         let u = self.chance();
         let rank = (1.0 - u * (1.0 - BETA.powi(count as i32))).ln() / BETA.ln();
         let rank = (rank as usize).min(count - 1);
-        let recs = &self.recs;
-        let by = |inv: &Inv| recs[*inv].as_ref().map_or((0.0, 0), |rec| (rec.size, rec.seq));
+        let by = |inv: &Inv| self.of(*inv).map_or((0.0, 0), |rec| (rec.size, rec.seq));
         let (_, drawn, _) = ranked.select_nth_unstable_by(rank, |a, b| {
             let (a, b) = (by(a), by(b));
             a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))
@@ -768,11 +773,9 @@
     /// Nothing of it is left here but, for a while, its entry.
     fn over(&mut self, now: Time, inv: Inv, host: &mut dyn Host) {
         self.shift(now, inv, At::Over);
-        let Some(rec) = self.rec(inv) else { return };
-        if rec.kept_until > now {
-            self.set_alarm(now, inv);
-        } else {
-            self.release(inv, host);
+        match self.of(inv) {
+            Some(rec) if rec.kept_until > now => self.set_alarm(now, inv),
+            _ => self.release(inv, host),
         }
     }
 
@@ -792,15 +795,21 @@
         self.recs.get_mut(inv)?.as_mut()
     }
 
+    fn of(&self, inv: Inv) -> Option<&Rec> {
+        self.recs.get(inv)?.as_ref()
+    }
+
     fn edit(&mut self, inv: Inv, change: impl FnOnce(&mut Rec)) {
-        if let Some(rec) = self.rec(inv) {
-            change(rec);
-        }
+        self.rec(inv).map(change);
     }
 
     fn effect(&self, inv: Inv) -> Effect {
-        let rec = self.recs.get(inv).and_then(Option::as_ref);
-        rec.map_or(Effect::Idempotent, |rec| self.ops[rec.op].set.effect)
+        self.of(inv).map_or(Effect::Idempotent, |rec| self.ops[rec.op].set.effect)
+    }
+
+    /// Whether its operation calls below.
+    fn calls(&self, inv: Inv) -> bool {
+        self.of(inv).is_some_and(|rec| self.ops[rec.op].set.calls)
     }
 
     /// Moves an invocation to another place, with all that is counted by place.
@@ -858,27 +867,24 @@
 
     /// Time one still needs from its start: its place, and its calls.
     fn need(&self, inv: Inv) -> f64 {
-        let rec = self.recs.get(inv).and_then(Option::as_ref);
-        rec.map_or(0.0, |rec| rec.size * self.pace + self.ops[rec.op].below)
+        self.of(inv).map_or(0.0, |rec| rec.size * self.pace + self.ops[rec.op].below)
     }
 
     /// Time until the calls owed by all that is here have gone out, where their number is bound.
     fn calls_line(&self) -> f64 {
-        let calls = |inv: &&Inv| self.recs[**inv].as_ref().is_some_and(|rec| self.ops[rec.op].set.calls);
-        let owed = self.asking.len() + self.held.iter().filter(calls).count();
+        let owed = self.asking.len() + self.held.iter().filter(|inv| self.calls(**inv)).count();
         let most = if self.below == Below::Shared { self.calls_out * self.lent } else { self.calls_most };
         owed as f64 * self.call_time / most.max(0.01)
     }
 
     fn least(&self, calls: bool) -> Option<Inv> {
-        let may =
-            |inv: &Inv| !calls || self.recs[*inv].as_ref().is_some_and(|rec| self.ops[rec.op].set.calls);
-        self.held.iter().copied().filter(may).min_by(|a, b| self.by_value(*a, *b))
+        let may = self.held.iter().copied().filter(|inv| !calls || self.calls(*inv));
+        may.min_by(|a, b| self.by_value(*a, *b))
     }
 
     /// Less billed value first; of equals the newer first.
     fn by_value(&self, a: Inv, b: Inv) -> Ordering {
-        let key = |inv: Inv| self.recs[inv].as_ref().map_or((0.0, 0), |rec| (rec.value, rec.seq));
+        let key = |inv: Inv| self.of(inv).map_or((0.0, 0), |rec| (rec.value, rec.seq));
         let (a, b) = (key(a), key(b));
         a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
     }
@@ -938,6 +944,25 @@
         self.cap = self.cap.clamp(self.cores * CAP_LEAST, self.cores * self.tip * SURVIVE);
     }
 
+    /// Guards against a table of connections that many callers fill, each with one it seldom uses: it taxes
+    /// the cores and keeps callers out while cores idle. A server that turns much away on busy cores leaves
+    /// the table full: a try that finds no connection costs less than one that is read. Holds for any cause
+    /// that opens many; may hurt where callers come back just after the idle time, as each time costs a
+    /// handshake.
+    fn connections(&mut self, now: Time, gauges: Gauges, host: &mut dyn Host) {
+        let (Some(busy), Some(links)) = (gauges.core_use, gauges.links) else { return };
+        self.busy += (busy - self.busy) * NEWEST;
+        if now < self.advert_at {
+            return;
+        }
+        let close = links > self.cores * LINKS && (self.refused < REFUSED || self.busy < BUSY);
+        let before = self.idle;
+        self.idle = (before * if close { 1.0 / IDLE_STEP } else { IDLE_STEP }).clamp(IDLE_LEAST, IDLE_MOST);
+        if self.idle != before {
+            host.close_idle(self.idle as Time);
+        }
+    }
+
     /// Tells callers how much to send: less while in-share invocations had to be shed, then slowly more.
     fn advertise(&mut self, now: Time, host: &mut dyn Host) {
         self.advert_at = now + ADVERT;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 //!     fn reuse(&mut self, _: Inv) {}
 //!     fn health(&mut self, _: bool, _: bool) {}
 //!     fn advertise(&mut self, _: f64) {}
+//!     fn close_idle(&mut self, _: Time) {}
 //!     fn wake(&mut self, _: Time) {}
 //!     fn log(&mut self, _: &str) {}
 //!     fn release(&mut self, _: Inv) {}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -6,7 +6,7 @@
 //!   TIME needs|left|leave N            a call is needed, a caller has left, notice to leave
 //!   TIME end INV OUTCOME               how a run ended
 //!   TIME called INV OUTCOME TOOK       how a call ended
-//!   TIME gauges CORE_USE ON_CORES      what ticks report from now on
+//!   TIME gauges CORE_USE ON_CORES [LINKS]  what ticks report from now on
 //!   TIME pass                          only time passes; ticks come by themselves
 //!   expect ACTION ...                  among the actions since the event before (words must match as far as given)
 //!   refuse ACTION ...                  not among them
@@ -53,6 +53,9 @@
     fn advertise(&mut self, value: f64) {
         self.actions.push(format!("advertise {value}"));
     }
+    fn close_idle(&mut self, after: Time) {
+        self.actions.push(format!("close_idle {}", after / 10));
+    }
     fn wake(&mut self, after: Time) {
         self.wake = Some(after);
     }
@@ -251,7 +254,8 @@
                     "called" => brain.call_ended(now, inv(), outcome(words[3]), ms(words[4]), &mut seen),
                     "gauges" => {
                         let [use_, on] = [words[2], words[3]].map(|word| word.parse().ok());
-                        gauges = Gauges { core_use: use_, on_cores: on, ..Gauges::default() };
+                        let links = words.get(4).and_then(|word| word.parse().ok());
+                        gauges = Gauges { core_use: use_, on_cores: on, links, ..Gauges::default() };
                     }
                     "pass" => {}
                     _ => panic!("no event {line}"),
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -74,6 +74,9 @@
     fn advertise(&mut self, value: f64) {
         let _ = writeln!(self.out, "HINT_OUT {} {value:.4}", self.who);
     }
+    fn close_idle(&mut self, after: Time) {
+        let _ = writeln!(self.out, "CLOSE_IDLE {} {}", self.who, after * NS);
+    }
     fn wake(&mut self, after: Time) {
         let _ = writeln!(self.out, "SET_TIMER {} {} 1", self.who, after * NS);
     }
