Make no call that would come back too late; count what given-up calls took

Those parked also filled the 0.7 of the survivable crowd, so operations without calls waited for idle cores.

Change: no call with less than 0.8 of the mean call time left while another is out; a call given up counts with the time it was out; runs and parked calls may reach 0.9 of the survivable crowd, still strictly under it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,7 +39,7 @@
 const UNREAD: f64 = 0.4;
 const YIELD: f64 = 4.0;
 /// Part of the survivable crowd that runs and parked calls together may reach.
-const SURVIVE: f64 = 0.7;
+const SURVIVE: f64 = 0.9;
 /// Parked invocations (at a call or waiting for one) a core, past which none that calls is started.
 const PARKED: f64 = 3.0;
 /// Calls out to a tier: at most this many a core, less by this factor when one is turned away, then more by
@@ -73,6 +73,8 @@
 const CALL_TRIES: u32 = 2;
 /// Shortest time (tenths of a millisecond) worth a call.
 const CALL_LEAST: Time = 200;
+/// No call is made with less than this part of the mean call time left, while others are out.
+const CALL_SURE: f64 = 0.8;
 /// Weight of the newest in the averages of call times.
 const NEWEST: f64 = 0.1;
 /// Advertised value: set every so many tenths of a millisecond, and bounds of what callers may have out
@@ -196,7 +198,7 @@
     tip: f64,
     max_backoff: Time,
     tick: Time,
-    line_most: f64,
+    shortest: f64,
     seed: u64,
 
     drawn: u64,
@@ -216,7 +218,6 @@
     pace: f64,
     crowd: f64,
     unread: f64,
-    unread_most: f64,
     call_time: f64,
     calls_most: f64,
     calls_cut: Time,
@@ -267,12 +268,11 @@
             tip: set.tip.max(1.0),
             max_backoff: set.max_backoff,
             tick: ((set.slack as f64 * TICK_OF_SLACK) as Time).clamp(10, TICK_MAX),
-            line_most: shortest as f64 * LINE,
+            shortest: shortest as f64,
             seed: set.seed,
             cap: cores,
             calls_most: cores * CALLING,
             pace: 1.0,
-            unread_most: shortest as f64 * UNREAD,
             last: now,
             out_most: cores * OUT_MOST,
             idle: IDLE_MOST,
@@ -342,7 +342,8 @@
         if how == Outcome::NoAnswer {
             self.linger(now);
         }
-        if how == Outcome::Succeeded {
+        // One given up took at least as long: without it a jam hides how slow calls are.
+        if how == Outcome::Succeeded || how == Outcome::NoAnswer && took as f64 > self.call_time {
             let first = self.call_time == 0.0;
             self.call_time += (took as f64 - self.call_time) * if first { 1.0 } else { NEWEST };
         }
@@ -546,14 +547,15 @@
             let Some(rec) = self.recs[a.inv].as_ref().filter(|rec| rec.at == At::Held) else {
                 return Step::End;
             };
-            let room = (FIT * ((rec.goal - now) as f64 - self.need(a.inv))).min(self.line_most);
+            let room = (FIT * ((rec.goal - now) as f64 - self.need(a.inv))).min(self.shortest * LINE);
             let free = self.cap - self.running as f64 >= self.held.len() as f64;
             let ahead = self.wait() - rec.size * self.pace / self.cap;
             let no_calls = self.calls(a.inv) && self.calls_line() > FIT * (rec.goal - now) as f64;
             if !no_calls && (free || ahead <= room.max(0.0)) {
                 break;
             }
-            let Some(victim) = self.least(no_calls) else { break };
+            let may = self.held.iter().copied().filter(|inv| !no_calls || self.calls(*inv));
+            let Some(victim) = may.min_by(|a, b| self.by_value(*a, *b)) else { break };
             self.shed += self.of(victim).is_some_and(|rec| rec.in_share) as usize;
             self.give_up(now, victim, true, host);
         }
@@ -565,7 +567,9 @@
 
     fn fill(&mut self, now: Time, host: &mut dyn Host) {
         let parked = self.active.len() - self.running;
-        let survivable = self.cores * (1.0 + (self.tip - 1.0) * self.warm(now)) * SURVIVE;
+        let cold = (self.warm_at - now).max(0) as f64 / self.cold_for;
+        let speed = 1.0 - (1.0 - self.cold_from) * cold; // surely reached
+        let survivable = self.cores * (1.0 + (self.tip - 1.0) * speed) * SURVIVE;
         while !self.held.is_empty()
             && (self.running as f64) < self.cap
             && ((self.active.len() + 1) as f64) < survivable
@@ -622,9 +626,13 @@
             };
             let best = self.asking.iter().copied().max_by(|a, b| self.by_value(*a, *b));
             let (true, Some(inv)) = (may, best) else { return };
+            let (calling, call_time) = (self.calling, self.call_time);
             let Some(rec) = self.rec(inv) else { return };
             let left = rec.goal - now;
-            if left < CALL_LEAST {
+            // Guards what lies below against calls whose answer comes too late: it does them all the same.
+            // Holds whatever slows it; may hurt where times vary much. One call is always out, to learn.
+            let hopeless = calling > 0 && (left as f64) < call_time * CALL_SURE;
+            if left < CALL_LEAST || hopeless {
                 self.without_call(now, inv, host);
                 continue;
             }
@@ -877,11 +885,6 @@
         owed as f64 * self.call_time / most.max(0.01)
     }
 
-    fn least(&self, calls: bool) -> Option<Inv> {
-        let may = self.held.iter().copied().filter(|inv| !calls || self.calls(*inv));
-        may.min_by(|a, b| self.by_value(*a, *b))
-    }
-
     /// Less billed value first; of equals the newer first.
     fn by_value(&self, a: Inv, b: Inv) -> Ordering {
         let key = |inv: Inv| self.of(inv).map_or((0.0, 0), |rec| (rec.value, rec.seq));
@@ -889,11 +892,6 @@
         a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
     }
 
-    fn warm(&self, now: Time) -> f64 {
-        let left = (self.warm_at - now).max(0) as f64 / self.cold_for;
-        1.0 - (1.0 - self.cold_from) * left
-    }
-
     /// Class scales and the pace (time a place is held for a unit of scaled hint) over the same period.
     fn measure(&mut self, now: Time, span: f64) {
         let keep = MEMORY_OF_RUNS.powf(span / SECOND as f64);
@@ -926,7 +924,7 @@
         // Guards against work growing old unread: reading shares the cores with what runs, so when it lags,
         // runs give way, under the core count if need be. Holds for any cause that slows all the server
         // does; may hurt where a pause of the whole process, not crowded cores, kept arrivals unread.
-        if self.unread > self.unread_most {
+        if self.unread > self.shortest * UNREAD {
             self.cap = (self.cap - step * YIELD).max(1.0);
             return;
         }
@@ -967,7 +965,7 @@
     fn advertise(&mut self, now: Time, host: &mut dyn Host) {
         self.advert_at = now + ADVERT;
         let shed = std::mem::take(&mut self.shed);
-        let pressed = shed > 0 || self.wait() > self.line_most;
+        let pressed = shed > 0 || self.wait() > self.shortest * LINE;
         if pressed != self.crowded_out {
             self.crowded_out = pressed;
             let state = if pressed { "shedding" } else { "not shedding" };
