Ask callers not to try elsewhere with every throttle unless draining

Cause: at full size callers that go on after a throttle walk through a longer list; each try costs its reading and mostly a handshake. Only throttles for a full line asked them to stop.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -386,7 +386,7 @@
             self.over(now, inv, host);
         } else {
             self.shift(now, inv, At::Held); // stopped without an answer: it waits again, or is ended below
-            self.give_up(now, inv, false, host);
+            self.give_up(now, inv, host);
         }
         self.let_out(now, host);
         self.fill(now, host);
@@ -455,7 +455,7 @@
         rec.due = rec.due.min(stop).max(now);
         rec.goal = rec.goal.min(stop);
         if rec.arrived >= grace || now >= stop {
-            self.give_up(now, a.inv, false, host);
+            self.give_up(now, a.inv, host);
             return Step::End;
         }
         Step::Pass
@@ -477,7 +477,7 @@
             let failed = first.is_some_and(|first| first.at == At::Over && first.begun && !first.succeeded);
             if failed && effect != Effect::Idempotent {
                 self.edit(a.inv, |rec| rec.begun = true); // some try of it has run: no throttling
-                self.give_up(now, a.inv, false, host);
+                self.give_up(now, a.inv, host);
                 return Step::End;
             }
             if !unrun && !failed {
@@ -493,7 +493,7 @@
                 if effect != Effect::Tokened {
                     return Step::Pass;
                 }
-                self.give_up(now, a.inv, false, host);
+                self.give_up(now, a.inv, host);
                 return Step::End;
             }
             host.keep(a.inv, span);
@@ -531,7 +531,7 @@
         while self.used_kb > self.high_kb {
             let key = |inv: &Inv| self.of(*inv).map_or((0, 0), |rec| ((rec.kb * 16.0) as u64, rec.seq));
             let Some(largest) = self.held.iter().copied().max_by_key(key) else { break };
-            self.give_up(now, largest, false, host);
+            self.give_up(now, largest, host);
             if largest == a.inv {
                 return Step::End;
             }
@@ -540,8 +540,6 @@
     }
 
     /// A line no longer than its objectives allow; of what must go, the least valued, then the newest.
-    /// Callers are asked not to try elsewhere: a full line here tends to be a full fleet, where each further
-    /// try costs its reading. May hurt where only this server is full.
     fn hold_in(&mut self, now: Time, a: &Arrival, host: &mut dyn Host) -> Step {
         loop {
             let Some(rec) = self.recs[a.inv].as_ref().filter(|rec| rec.at == At::Held) else {
@@ -557,7 +555,7 @@
             let may = self.held.iter().copied().filter(|inv| !no_calls || self.calls(*inv));
             let Some(victim) = may.min_by(|a, b| self.by_value(*a, *b)) else { break };
             self.shed += self.of(victim).is_some_and(|rec| rec.in_share) as usize;
-            self.give_up(now, victim, true, host);
+            self.give_up(now, victim, host);
         }
         self.set_alarm(now, a.inv);
         Step::Keep
@@ -715,7 +713,7 @@
             _ if now >= rec.due => return self.fail(now, inv, host),
             At::Held if now as f64 + need * SURE >= rec.goal as f64 => {
                 if late <= 0.0 || rec.goal >= rec.due {
-                    return self.give_up(now, inv, false, host);
+                    return self.give_up(now, inv, host);
                 }
                 rec.goal = rec.due;
                 rec.value *= late;
@@ -747,11 +745,15 @@
 
     // ---- endings ----
 
-    /// Turned away with a time to come back; what has run and may not run twice is errored instead.
-    fn give_up(&mut self, now: Time, inv: Inv, stay_away: bool, host: &mut dyn Host) {
+    /// Turned away with a time to come back; what has run and may not run twice is errored instead. Unless
+    /// this server leaves, callers are asked not to try elsewhere: guards a full fleet against walks through
+    /// its list, longer in a larger one, where each try costs its reading and a connection. May hurt where
+    /// only this server is full.
+    fn give_up(&mut self, now: Time, inv: Inv, host: &mut dyn Host) {
         let once = self.effect(inv) != Effect::Idempotent;
         let back = (self.wait() as Time).clamp(0, self.max_backoff);
-        let back = if self.leaving.is_some() { self.max_backoff } else { back };
+        let stays = self.leaving.is_none();
+        let back = if stays { back } else { self.max_backoff };
         let Some(rec) = self.rec(inv).filter(|rec| !rec.answered) else { return };
         if (rec.begun && once) || rec.at != At::Held {
             return self.fail(now, inv, host);
@@ -760,7 +762,7 @@
         if let (true, Some(customer)) = (rec.in_share, rec.customer) {
             self.customers[customer].tokens += 1.0;
         }
-        host.throttle(inv, back, stay_away);
+        host.throttle(inv, back, stays);
         self.over(now, inv, host);
     }
 
