--- a/src/brain.rs
+++ b/src/brain.rs
@@ -51,7 +51,7 @@
 /// calls take less than this multiple of their least mean time, which itself drifts up by this part a
 /// second.
 const LENT_LEAST: f64 = 0.38;
-const LENT_MOST: f64 = 0.6;
+const LENT_MOST: f64 = 0.9;
 const LENT_STEP: f64 = 0.2;
 const LENT_FALL: f64 = 1.0;
 const CALLS_FAST: f64 = 1.4;
