--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,7 +36,7 @@
 /// The cap falls back to this part of the cores at least; what returns from calls and reading fill the rest.
 const CAP_LEAST: f64 = 0.5;
 /// Unread time, as a part of the shortest objective, past which runs give way to reading, and how fast.
-const UNREAD: f64 = 0.4;
+const UNREAD: f64 = 0.25;
 const YIELD: f64 = 4.0;
 /// Part of the survivable crowd that runs and parked calls together may reach.
 const SURVIVE: f64 = 0.9;
