--- a/src/brain.rs
+++ b/src/brain.rs
@@ -60,8 +60,11 @@
 const AHEAD: f64 = 0.04;
 /// Memory: nothing starts past this part of it; past it the largest held is throttled.
 const HIGH: f64 = 0.85;
-/// Seconds of a customer's local share that may come at once.
+/// Seconds of a customer's local share that may come at once, and at least so many invocations: a share of
+/// one a second comes unevenly. Over-share work joins only this part of the line, which it else would fill.
 const BURST: f64 = 2.0;
+const BURST_LEAST: f64 = 8.0;
+const OVER_LINE: f64 = 0.6;
 /// Hold: the line may take this part of the shortest objective, and this part of an invocation's own slack.
 const LINE: f64 = 0.3;
 const FIT: f64 = 0.5;
@@ -436,7 +439,7 @@
         }
         for customer in &mut self.customers {
             let most = customer.rate * BURST * SECOND as f64;
-            customer.tokens = (customer.tokens + customer.rate * span).min(most.max(1.0));
+            customer.tokens = (customer.tokens + customer.rate * span).min(most.max(BURST_LEAST));
         }
         self.measure(now, span);
         self.grow(gauges, span);
@@ -546,10 +549,9 @@
     /// A line no longer than its objectives allow; of what must go, the least valued, then the newest.
     fn hold_in(&mut self, now: Time, a: &Arrival, host: &mut dyn Host) -> Step {
         loop {
-            let Some(rec) = self.recs[a.inv].as_ref().filter(|rec| rec.at == At::Held) else {
-                return Step::End;
-            };
-            let room = (FIT * ((rec.goal - now) as f64 - self.need(a.inv))).min(self.shortest * LINE);
+            let Some(rec) = self.of(a.inv).filter(|rec| rec.at == At::Held) else { return Step::End };
+            let part = if rec.in_share { 1.0 } else { OVER_LINE };
+            let room = (FIT * ((rec.goal - now) as f64 - self.need(a.inv))).min(self.shortest * LINE) * part;
             let free = self.cap - self.running as f64 >= self.held.len() as f64;
             let ahead = self.wait() - rec.size * self.pace / self.cap;
             let no_calls = self.calls(a.inv) && self.calls_line() > FIT * (rec.goal - now) as f64;
@@ -628,17 +630,15 @@
             };
             let best = self.asking.iter().copied().max_by(|a, b| self.by_value(*a, *b));
             let (true, Some(inv)) = (may, best) else { return };
-            let (calling, call_time) = (self.calling, self.call_time);
-            let Some(rec) = self.rec(inv) else { return };
-            let left = rec.goal - now;
+            let Some(left) = self.of(inv).map(|rec| rec.goal - now) else { return };
             // Guards what lies below against calls whose answer comes too late: it does them all the same.
             // Holds whatever slows it; may hurt where times vary much. One call is always out, to learn.
-            let hopeless = calling > 0 && (left as f64) < call_time * CALL_SURE;
+            let hopeless = self.calling > 0 && (left as f64) < self.call_time * CALL_SURE;
             if left < CALL_LEAST || hopeless {
                 self.without_call(now, inv, host);
                 continue;
             }
-            rec.calls += 1;
+            self.edit(inv, |rec| rec.calls += 1);
             self.shift(now, inv, At::Calling);
             host.call(inv, left);
         }
