A message that can't be read is named and skipped; other instances go on

The adapter ended at the first malformed line, and with it every instance it hosts. Now it names the line on standard error and goes on; an invocation that can't be read is errored, and a timer with odd gauges still ticks, since each tick asks for the next.

--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -210,10 +210,12 @@
             return Ok(());
         }
         "REMINDER" => {
-            values.word("key_back")?;
-            let gauges = gauges(values.maybe())?;
-            at.brain.tick(now, gauges, &mut Wire { out, who, ids: &mut at.ids });
-            return Ok(());
+            values.maybe(); // the timer's key: there is one timer
+            let read = gauges(values.maybe());
+            // The timer must go on whatever the gauges say.
+            let known = read.as_ref().copied().unwrap_or_default();
+            at.brain.tick(now, known, &mut Wire { out, who, ids: &mut at.ids });
+            return read.map(|_| ());
         }
         "LEAVING" => {
             let within = values.span("budget_ns")?;
@@ -224,7 +226,12 @@
     }
     let word = values.word("corr")?;
     if name == "ACCEPT" {
-        let arrival = arrival(at, word, &mut values)?;
+        // Not to be understood, but an answer is owed.
+        let owed = |what| {
+            let _ = writeln!(out, "DROP_REQUEST {who} {word}");
+            what
+        };
+        let arrival = arrival(at, word, &mut values).map_err(owed)?;
         at.brain.arrived(now, arrival, &mut Wire { out, who, ids: &mut at.ids });
         return Ok(());
     }
@@ -247,6 +254,11 @@
     Ok(())
 }
 
+fn complain(what: String) {
+    eprintln!("cypresscleat-wirehost: {what}");
+}
+
+/// Ends with the input, or where batches can no longer be told apart.
 fn serve(input: impl BufRead, mut output: impl Write) -> Result<(), String> {
     let mut hosted = HashMap::new();
     let mut now: Option<Time> = None;
@@ -270,7 +282,10 @@
                 out.clear();
                 now = None;
             }
-            (None, Some(now)) => event(&mut hosted, now, &line, &mut out).map_err(wrong)?,
+            // A message that is not understood is skipped: the other instances are served all the same.
+            (None, Some(now)) => {
+                event(&mut hosted, now, &line, &mut out).map_err(wrong).unwrap_or_else(complain)
+            }
         }
     }
     match now {
@@ -281,7 +296,7 @@
 
 fn main() {
     if let Err(what) = serve(io::stdin().lock(), io::stdout().lock()) {
-        eprintln!("cypresscleat-wirehost: {what}");
+        complain(what);
         std::process::exit(1);
     }
 }
