--- a/src/brain.rs
+++ b/src/brain.rs
@@ -84,15 +84,14 @@
 const CALL_SURE: f64 = 0.8;
 /// Weight of the newest in the averages of call times.
 const NEWEST: f64 = 0.1;
-/// Advertised value: set every so many tenths of a millisecond, and bounds of what callers may have out
-/// with us, a core.
+/// Advertised value: set every so many tenths of a millisecond; bounds of what callers may have out, a core;
+/// its steps: while pressed to this multiple of what is out, else of the last value. With many callers each
+/// may have one out while there is room: less would keep them from servers they know are free.
 const ADVERT: Time = 1000;
 const OUT_LEAST: f64 = 1.0;
 const OUT_MOST: f64 = 3.0;
-/// What callers may have out, at each advert: this multiple of what is out while pressed, else of the last
-/// value.
 const OUT_FALL: f64 = 0.95;
-const OUT_RISE: f64 = 1.05;
+const OUT_RISE: f64 = 1.1;
 /// Advertised floor: its change at each advert, and its most.
 const FLOOR_STEP: f64 = 0.02;
 const FLOOR_MOST: f64 = 0.8;
@@ -281,7 +280,7 @@
             calls_most: cores * CALLING,
             pace: 1.0,
             last: now,
-            out_most: cores * OUT_MOST,
+            out_most: (cores * OUT_MOST).max(set.callers),
             idle: IDLE_MOST,
             ..Brain::default()
         };
@@ -986,7 +985,7 @@
             host.log(&format!("calls {not}slow: mean {mean:.0} ms, {out} out, {wait} wait"));
         }
         let out = self.held.len() + self.active.len();
-        let (least, most) = (self.cores * OUT_LEAST, self.cores * OUT_MOST);
+        let (least, most) = (self.cores * OUT_LEAST, (self.cores * OUT_MOST).max(self.callers));
         let target =
             if pressed { self.out_most.min(out as f64) * OUT_FALL } else { self.out_most * OUT_RISE };
         self.out_most = target.clamp(least, most);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -142,6 +142,7 @@
         "memory_kb" => to.memory_kb = number(),
         "entry_kb" => to.entry_kb = number(),
         "tip" => to.tip = number(),
+        "callers" => to.callers = number(),
         "servers" => to.servers = number(),
         "calls_out" => to.calls_out = number(),
         "cold" => to.cold = value == "yes",
