One alone may always run, however small the crowd a server survives

0.9 of the crowd survived by one core that tolerates no more than one a core is under one: nothing would ever start. One alone never passes the limit.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -572,7 +572,8 @@
         let parked = self.active.len() - self.running;
         let cold = (self.warm_at - now).max(0) as f64 / self.cold_for;
         let speed = 1.0 - (1.0 - self.cold_from) * cold; // surely reached
-        let survivable = self.cores * (1.0 + (self.tip - 1.0) * speed) * SURVIVE;
+        let crowd = self.cores * (1.0 + (self.tip - 1.0) * speed) * SURVIVE;
+        let survivable = crowd.max(1.01); // one alone is always survived
         while !self.held.is_empty()
             && (self.running as f64) < self.cap
             && ((self.active.len() + 1) as f64) < survivable
