A shared call may not outlast this server's share of the dependency

Cause: a server's share is 0.4 of a call. The credit lets one go out whenever it is not negative, for as long as its objective allows; when the dependency turned slow, each of 237 servers had one call hanging, and paying for it afterwards comes too late.

Change: a shared call lasts at most ten times the credit that may be saved, 0.4 of the window times the share, less the time an abandoned one lingers. On servers with a share of four calls and more this is longer than any objective.

Should hold against any cause that makes calls hang; may hurt where the dependency is slow but far from its limit.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,6 +58,8 @@
 const CALLS_DRIFT: f64 = 0.01;
 /// Part of the window of `calls_out` that may be used ahead.
 const AHEAD: f64 = 0.04;
+/// Longest shared call, as a multiple of that: one that hangs on each of many servers fells what all share.
+const LONGEST: f64 = 10.0;
 /// Memory: nothing starts past this part of it; past it the largest held is throttled.
 const HIGH: f64 = 0.85;
 /// Seconds of a customer's local share that may come at once, and at least so many invocations: a share of
@@ -68,9 +70,8 @@
 /// Hold: the line may take this part of the shortest objective, and this part of an invocation's own slack.
 const LINE: f64 = 0.3;
 const FIT: f64 = 0.5;
-/// Part of its billed value that a marked repeat counts where something must go. Guards against storms of
-/// repeats, whatever starts them: a first try that is turned away comes again and is read again, a repeat
-/// seldom does. May hurt where callers repeat many times.
+/// Part of its billed value that a marked repeat counts where something must go: a first try turned away is
+/// read again, a repeat seldom. Guards against storms of repeats; may hurt where callers repeat many times.
 const RESENT: f64 = 0.3;
 /// Time (tenths of a millisecond) an answer needs on its way, taken off the objective.
 const WAY: Time = 100;
@@ -246,7 +247,6 @@
             rate: rate / set.servers.max(1.0) / SECOND as f64,
             tokens: rate / set.servers.max(1.0) * BURST,
         };
-        let shortest = set.operations.iter().map(|op| op.objective).min().unwrap_or(SECOND);
         let cores = set.cores.max(1.0);
         let op = |set: &Operation| Op { set: set.clone(), took: 0.0, hinted: 0.0, scale: 1.0, below: 0.0 };
         let brain = Brain {
@@ -274,7 +274,7 @@
             tip: set.tip.max(1.0),
             max_backoff: set.max_backoff,
             tick: ((set.slack as f64 * TICK_OF_SLACK) as Time).clamp(10, TICK_MAX),
-            shortest: shortest as f64,
+            shortest: set.operations.iter().map(|op| op.objective).min().unwrap_or(SECOND) as f64,
             seed: set.seed,
             cap: cores,
             calls_most: cores * CALLING,
@@ -572,8 +572,7 @@
         let parked = self.active.len() - self.running;
         let cold = (self.warm_at - now).max(0) as f64 / self.cold_for;
         let speed = 1.0 - (1.0 - self.cold_from) * cold; // surely reached
-        let crowd = self.cores * (1.0 + (self.tip - 1.0) * speed) * SURVIVE;
-        let survivable = crowd.max(1.01); // one alone is always survived
+        let survivable = (self.cores * (1.0 + (self.tip - 1.0) * speed) * SURVIVE).max(1.01); // one always is
         while !self.held.is_empty()
             && (self.running as f64) < self.cap
             && ((self.active.len() + 1) as f64) < survivable
@@ -640,7 +639,9 @@
             }
             self.edit(inv, |rec| rec.calls += 1);
             self.shift(now, inv, At::Calling);
-            host.call(inv, left);
+            let longest = (self.credit_most * LONGEST) as Time - self.lingers;
+            let within = if self.below == Below::Shared { left.min(longest.max(CALL_LEAST)) } else { left };
+            host.call(inv, within);
         }
     }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -35,8 +35,8 @@
     fn stop(&mut self, inv: Inv) {
         self.actions.push(format!("stop {inv}"));
     }
-    fn call(&mut self, inv: Inv, _within: Time) {
-        self.actions.push(format!("call {inv}"));
+    fn call(&mut self, inv: Inv, within: Time) {
+        self.actions.push(format!("call {inv} {}", within / 10));
     }
     fn skip_call(&mut self, inv: Inv) {
         self.actions.push(format!("skip {inv}"));
