Shared calls get the time one may linger at least, in far larger fleets too

With four times the servers a share of the dependency would be 0.1 of a call, and the bound on the length of a call nothing: none would ever come back.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -639,7 +639,7 @@
             }
             self.edit(inv, |rec| rec.calls += 1);
             self.shift(now, inv, At::Calling);
-            let longest = (self.credit_most * LONGEST) as Time - self.lingers;
+            let longest = ((self.credit_most * LONGEST) as Time - self.lingers).max(self.lingers);
             let within = if self.below == Below::Shared { left.min(longest.max(CALL_LEAST)) } else { left };
             host.call(inv, within);
         }
