--- /dev/null
+++ b/server/src/config.rs
@@ -0,0 +1,124 @@
+//! The only reader of the environment and of EDGE_CONFIG: checks, defaults, messages that name the faulty key.
+
+use cypresscleat::api::*;
+use cypresscleat_settings::{self as settings, Names};
+use serde_json::Value;
+use std::net::{SocketAddr, ToSocketAddrs};
+
+const MEMORY_MB: u64 = 192;
+const SOCKETS: u64 = 1024;
+const STOP_MS: u64 = 3000;
+
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub kernel: SocketAddr,
+    pub roster: Option<SocketAddr>,
+    pub ledger: Option<SocketAddr>,
+    pub stop: Time,
+    pub memory_mb: u64,
+    pub sockets: usize,
+    pub settings: Settings,
+    pub names: Names,
+}
+
+/// Reads what the environment names.
+pub fn read() -> Result<Config, String> {
+    let var = |name: &str| std::env::var(name).ok().filter(|value| !value.is_empty());
+    let path = var("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set: it names the configuration, a JSON file")?;
+    let text = std::fs::read_to_string(&path).map_err(|error| format!("EDGE_CONFIG {path:?}: {error}"))?;
+    parse(&text, var("EDGE_NAME"), var("EDGE_LISTEN")).map_err(|what| format!("{path}: {what}"))
+}
+
+/// `name` and `listen` stand in for the keys of these names where the text lacks them.
+pub fn parse(text: &str, name: Option<String>, listen: Option<String>) -> Result<Config, String> {
+    let all: Value = serde_json::from_str(text).map_err(|error| error.to_string())?;
+    if !all.is_object() {
+        return Err("not a JSON object".into());
+    }
+    let text = |key: &str| match &all[key] {
+        Value::Null => Ok(None),
+        Value::String(text) if !text.is_empty() => Ok(Some(text.clone())),
+        other => Err(format!("{key}: expected text, found {other}")),
+    };
+    let address = |key: &str, text: Option<String>| match text {
+        None => Ok(None),
+        Some(text) => match text.to_socket_addrs().map(|mut found| found.next()) {
+            Ok(Some(found)) => Ok(Some(found)),
+            _ => Err(format!("{key}: {text:?} is no address of the form 127.0.0.1:10080")),
+        },
+    };
+    let need = |key: &str, value: Option<SocketAddr>| value.ok_or_else(|| format!("{key} is missing"));
+    let whole = |key: &str, value: &Value, default: u64, least: u64| match value {
+        Value::Null => Ok(default),
+        value => match value.as_u64().filter(|number| *number >= least) {
+            Some(number) => Ok(number),
+            None => Err(format!("{key}: expected a whole number from {least} up, found {value}")),
+        },
+    };
+    let seed = match text("seed")? {
+        None => 0,
+        Some(hex) => {
+            u64::from_str_radix(&hex, 16).map_err(|_| format!("seed: {hex:?} is not 16 hex digits"))?
+        }
+    };
+    let (settings, names) =
+        settings::read(&all["settings"], seed).map_err(|what| format!("settings: {what}"))?;
+    check(&all["settings"], &settings)?;
+    let name = text("name")?.or(name).ok_or("name is missing")?;
+    if !name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)) {
+        return Err(format!("name: {name:?} has other characters than letters, digits, '-', '_' and '.'"));
+    }
+    Ok(Config {
+        name,
+        listen: need("listen", address("listen", text("listen")?.or(listen))?)?,
+        kernel: need("kernel", address("kernel", text("kernel")?)?)?,
+        roster: address("roster", text("roster")?)?,
+        ledger: address("ledger", text("ledger")?)?,
+        stop: (whole("stop_ms", &all["stop_ms"], STOP_MS, 1)? * 10) as Time,
+        memory_mb: whole("limits.memory_mb", &all["limits"]["memory_mb"], MEMORY_MB, 16)?,
+        sockets: whole("limits.sockets", &all["limits"]["sockets"], SOCKETS, 64)? as usize,
+        settings,
+        names,
+    })
+}
+
+/// What the module needs, and what this front can't offer.
+fn check(all: &Value, set: &Settings) -> Result<(), String> {
+    let own = &all["specifics"];
+    let positive = [
+        ("specifics.cores", set.cores),
+        ("specifics.memory_kb", set.memory_kb),
+        ("specifics.blowup", set.blowup),
+        ("obligations.tip_multiple", set.tip),
+        ("obligations.answer_slack_ns", set.slack as f64),
+    ];
+    if set.operations.is_empty() {
+        return Err("settings.categories is missing or empty".into());
+    }
+    if let Some((key, _)) = positive.iter().find(|(_, value)| *value <= 0.0) {
+        return Err(format!("settings.{key} is missing or not above 0"));
+    }
+    if !own["gauges"].is_array() {
+        return Err("settings.specifics.gauges is missing".into());
+    }
+    for (at, op) in set.operations.iter().enumerate() {
+        if op.objective <= 0 || op.timeout <= 0 {
+            return Err(format!("settings.categories[{at}].aim_ns and deadline_ns must be above 0"));
+        }
+        if op.effect != Effect::Idempotent {
+            return Err(format!("settings.categories[{at}].effect: the frames carry no marks of repeats"));
+        }
+        if op.skipped > 0.0 {
+            return Err(format!("settings.specifics.degraded_worth[{at}]: the kernel can't skip a call"));
+        }
+    }
+    if set.fresh > 0 {
+        return Err("settings.specifics.fresh_ns: answers can't be used again here".into());
+    }
+    if set.halt == Halt::Freeze {
+        return Err("settings.specifics.halt: runs can't be frozen here".into());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/server/src/core.rs
@@ -0,0 +1,715 @@
+//! The one owner of the module: ids and indices, the open invocations, the table of calls. No I/O and no
+//! clock: each message that the queue brings becomes one call on the `Brain`, and what the `Brain` asks of
+//! its `Host` goes straight to the outboxes of those concerned. Decides nothing.
+
+use crate::clock::MS;
+use crate::counters::{add, Counters};
+use crate::frames::{self, Txn};
+use crate::lines::{self, Notice};
+use crate::log;
+use crate::pool::{Buf, Outbox, Pool};
+use cypresscleat::api::*;
+use cypresscleat::Brain;
+use cypresscleat_settings::{set_gauge, Names};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Requests a connection may have open.
+const STREAMS: usize = 32;
+/// Gauges older than this say nothing.
+const GAUGES_AGE: Time = 200 * MS;
+/// A call is given up from here when its reply is this late: the ledger tells of its end by itself.
+const CALL_MARGIN: Time = 50 * MS;
+/// Answers sent into a closing connection are kept this long, and so many: the request may come again.
+const RESENT_WITHIN: Time = 1000 * MS;
+const RESENT_MOST: usize = 64;
+/// No gauges are asked for while more than this waits for the kernel to read.
+const KERNEL_BEHIND: usize = 65_536;
+
+/// A router's connection, as far as the core deals with it.
+pub struct Peer {
+    pub out: Outbox,
+    /// Streams that are owed an answer.
+    pub open: RefCell<Vec<(u32, Inv)>>,
+    /// Requests of it that stand in the queue.
+    pub queued: Cell<u32>,
+    pub active_at: Cell<Time>,
+    /// It was told to send no new request.
+    pub told: Cell<Option<Time>>,
+    pub gone: Cell<bool>,
+}
+
+impl Peer {
+    pub fn new(pool: &Rc<Pool>, now: Time) -> Peer {
+        Peer {
+            out: Outbox::new(pool),
+            open: RefCell::default(),
+            queued: Cell::new(0),
+            active_at: Cell::new(now),
+            told: Cell::new(None),
+            gone: Cell::new(false),
+        }
+    }
+    /// Nothing is open on it, nothing on its way.
+    pub fn is_idle(&self) -> bool {
+        self.queued.get() == 0 && self.open.borrow().is_empty() && self.out.is_empty()
+    }
+}
+
+/// What the module says of itself: set by the core, sent along by the front.
+pub struct Voice {
+    pub good: Cell<bool>,
+    pub feedback: Cell<Option<f64>>,
+    /// Connections idle for longer are to be closed.
+    pub idle: Cell<Option<Time>>,
+    pub on: Cell<bool>,
+}
+
+impl Voice {
+    /// The fields of every answer and check, behind those given.
+    pub fn with<R>(&self, fields: &[(&str, &str)], write: impl FnOnce(&[(&str, &str)]) -> R) -> R {
+        let Some(value) = self.feedback.get() else { return write(fields) };
+        let value = format!("{value:.4}");
+        let mut all = fields.to_vec();
+        all.push(("feedback", &value));
+        write(&all)
+    }
+}
+
+/// What the core wants of the ledger.
+pub enum Command {
+    Post {
+        txn: Txn,
+        number: u64,
+        text: Buf,
+    },
+    /// `late`: its reply may still come, and must not be taken for that of a later call.
+    Abandon {
+        txn: Txn,
+        late: bool,
+    },
+}
+
+#[derive(Default)]
+pub struct Commands {
+    pub queue: RefCell<VecDeque<Command>>,
+    pub wake: Notify,
+}
+
+impl Commands {
+    fn push(&self, command: Command) {
+        self.queue.borrow_mut().push_back(command);
+        self.wake.notify_one();
+    }
+}
+
+/// The messages read from sockets, in the order of the one queue.
+pub enum Note {
+    Request {
+        peer: Rc<Peer>,
+        stream: u32,
+        payload: Buf,
+    },
+    Left {
+        peer: Rc<Peer>,
+        stream: u32,
+    },
+    Closed {
+        peer: Rc<Peer>,
+    },
+    Kernel(Notice),
+    /// A new link has told all notices that were missed; commands go here now.
+    KernelUp(Rc<Outbox>),
+    KernelDown,
+    Called {
+        txn: Txn,
+        number: u64,
+        how: Outcome,
+        reply: Option<Buf>,
+    },
+    Leave {
+        within: Time,
+    },
+}
+
+/// What the kernel was last asked to do with an invocation.
+#[derive(Clone, Copy, PartialEq)]
+enum Asked {
+    Nothing,
+    Run,
+    /// It waits for a call: the next word is ours.
+    Waits,
+    GoOn,
+}
+
+struct Open {
+    txn: Txn,
+    /// Whom the answer is owed.
+    to: Option<(Rc<Peer>, u32)>,
+    op: usize,
+    payload: Option<Buf>,
+    body: usize,
+    asked: Asked,
+    stopped: bool,
+    /// The number of the last command about it.
+    command: u64,
+    /// The body of the call it waits for, then the reply.
+    blob: Option<Buf>,
+    call: Option<(u64, Time)>,
+}
+
+struct Kernel {
+    out: Option<Rc<Outbox>>,
+    /// Commands told, and those known to have been read.
+    told: u64,
+    read: u64,
+}
+
+struct Answered {
+    txn: Txn,
+    peer: Rc<Peer>,
+    until: Time,
+    payload: Buf,
+}
+
+/// All but the `Brain`: what its `Host` needs.
+struct Side {
+    names: Names,
+    pool: Rc<Pool>,
+    counters: Rc<Counters>,
+    voice: Rc<Voice>,
+    ledger: Rc<Commands>,
+    kernel: Kernel,
+    index: HashMap<Txn, Inv>,
+    open: Vec<Option<Open>>,
+    free: Vec<Inv>,
+    /// Calls that are out, by the time they are given up from here.
+    calls: BTreeSet<(Time, u64, Inv)>,
+    call_number: u64,
+    answered: VecDeque<Answered>,
+    owed: usize,
+    gauges: Gauges,
+    gauges_at: Time,
+    now: Time,
+    wake_at: Time,
+}
+
+pub struct Core {
+    brain: Option<Brain>,
+    settings: Settings,
+    side: Side,
+}
+
+/// What the core shares with the tasks round it.
+#[derive(Clone)]
+pub struct Shared {
+    pub pool: Rc<Pool>,
+    pub counters: Rc<Counters>,
+    pub voice: Rc<Voice>,
+    pub ledger: Rc<Commands>,
+}
+
+impl Shared {
+    pub fn new(buffers: usize) -> Shared {
+        Shared {
+            pool: Pool::new(buffers),
+            counters: Rc::default(),
+            voice: Rc::new(Voice {
+                good: Cell::new(true),
+                feedback: Cell::new(None),
+                idle: Cell::new(None),
+                on: Cell::new(true),
+            }),
+            ledger: Rc::default(),
+        }
+    }
+}
+
+impl Core {
+    pub fn new(settings: Settings, names: Names, shared: &Shared) -> Core {
+        let Shared { pool, counters, voice, ledger } = shared.clone();
+        let side = Side {
+            names,
+            pool,
+            counters,
+            voice,
+            ledger,
+            kernel: Kernel { out: None, told: 0, read: 0 },
+            index: HashMap::new(),
+            open: Vec::new(),
+            free: Vec::new(),
+            calls: BTreeSet::new(),
+            call_number: 0,
+            answered: VecDeque::new(),
+            owed: 0,
+            gauges: Gauges::default(),
+            gauges_at: Time::MIN / 2,
+            now: 0,
+            wake_at: Time::MAX,
+        };
+        Core { brain: None, settings, side }
+    }
+
+    /// When `tick` is due.
+    pub fn wake_at(&self) -> Time {
+        self.side.wake_at
+    }
+    /// Answers that are owed.
+    pub fn owed(&self) -> usize {
+        self.side.owed
+    }
+
+    /// One message from the queue; `unix` is the system's clock in tenths of a millisecond.
+    pub fn take(&mut self, now: Time, unix: Time, note: Note) {
+        self.side.now = now;
+        match note {
+            Note::Request { peer, stream, payload } => self.request(unix, peer, stream, payload),
+            Note::Left { peer, stream } => {
+                let open = peer.open.borrow().iter().find(|(known, _)| *known == stream).map(|(_, inv)| *inv);
+                if let Some(inv) = open {
+                    self.left(inv);
+                }
+            }
+            Note::Closed { peer } => {
+                let open: Vec<Inv> = peer.open.borrow().iter().map(|(_, inv)| *inv).collect();
+                open.into_iter().for_each(|inv| self.left(inv));
+            }
+            Note::Kernel(notice) => self.notice(notice),
+            Note::KernelUp(out) => self.side.relink(out),
+            Note::KernelDown => self.side.kernel.out = None,
+            Note::Called { txn, number, how, reply } => {
+                let inv = self.side.index.get(&txn).copied();
+                let known = inv.filter(|inv| self.side.rec(*inv).call.is_some_and(|call| call.0 == number));
+                if let Some(inv) = known {
+                    self.called(inv, how, reply);
+                }
+            }
+            Note::Leave { within } => {
+                self.side.voice.on.set(false);
+                self.module(|brain, now, side| brain.leaving(now, within, side));
+            }
+        }
+    }
+
+    /// The module's timer.
+    pub fn tick(&mut self, now: Time) {
+        self.side.now = now;
+        let late = (now - self.side.wake_at).max(0) / MS;
+        let latest = &self.side.counters.clock_late_ms;
+        latest.set(latest.get().max(late as u64));
+        self.side.wake_at = Time::MAX;
+        // Guards runs whose call was lost without a word: the ledger tells of the end of each in time.
+        while let Some((_, number, inv)) = self.side.calls.first().copied().filter(|call| call.0 <= now) {
+            self.side.calls.pop_first();
+            if self.side.rec(inv).call.is_some_and(|call| call.0 == number) {
+                let txn = self.side.rec(inv).txn;
+                self.side.ledger.push(Command::Abandon { txn, late: true });
+                self.called(inv, Outcome::NoAnswer, None);
+            }
+        }
+        self.side.answered.retain(|answered| answered.until > now);
+        let fresh = now - self.side.gauges_at <= GAUGES_AGE;
+        let gauges = if fresh { self.side.gauges } else { Gauges::default() };
+        self.module(|brain, now, side| brain.tick(now, gauges, side));
+        self.side.ask_gauges();
+    }
+
+    fn module(&mut self, call: impl FnOnce(&mut Brain, Time, &mut Side)) {
+        if let Some(brain) = self.brain.as_mut() {
+            call(brain, self.side.now, &mut self.side);
+        }
+    }
+
+    // ---- routers ----
+
+    fn request(&mut self, unix: Time, peer: Rc<Peer>, stream: u32, payload: Buf) {
+        let side = &mut self.side;
+        peer.queued.set(peer.queued.get().saturating_sub(1));
+        if peer.gone.get() {
+            return;
+        }
+        if peer.open.borrow().iter().any(|(known, _)| *known == stream) {
+            return side.malformed(&peer, 0, &format!("stream {stream} is open already"));
+        }
+        if peer.open.borrow().len() >= STREAMS {
+            return side.malformed(&peer, stream, "more streams than may be open");
+        }
+        let read = match frames::request(&payload) {
+            Ok(read) => read,
+            Err(what) => return side.malformed(&peer, stream, &what),
+        };
+        let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        let Some(op) = place(&side.names.operations, read.operation) else {
+            return side.malformed(&peer, stream, &format!("verb {:?}", read.operation));
+        };
+        let customer = match read.customer {
+            Some(name) if !side.names.customers.is_empty() => match place(&side.names.customers, name) {
+                None => return side.malformed(&peer, stream, &format!("team {name:?}")),
+                known => known,
+            },
+            _ => None,
+        };
+        let txn = read.txn;
+        if side.came_again(txn, &peer, stream) {
+            return;
+        }
+        let Some(brain) = self.brain.as_mut() else {
+            return side.malformed(&peer, stream, "a request before the kernel is up");
+        };
+        add(&side.counters.invocations);
+        let (keyed, body) = (read.keyed, payload.len() - read.body.len());
+        let mut arrival = Arrival {
+            op,
+            customer,
+            rank: read.rank,
+            keyed,
+            unread: (unix - read.door).max(0),
+            hint: read.hint,
+            kb: read.kb,
+            ..Arrival::default()
+        };
+        arrival.inv = side.open(Open {
+            txn,
+            to: None,
+            op,
+            payload: Some(payload),
+            body,
+            asked: Asked::Nothing,
+            stopped: false,
+            command: 0,
+            blob: None,
+            call: None,
+        });
+        side.owe(arrival.inv, peer, stream);
+        brain.arrived(side.now, arrival, side);
+    }
+
+    fn left(&mut self, inv: Inv) {
+        add(&self.side.counters.caller_left);
+        self.side.settle(inv);
+        self.module(|brain, now, side| brain.caller_left(now, inv, side));
+    }
+
+    // ---- the kernel ----
+
+    fn notice(&mut self, notice: Notice) {
+        match notice {
+            Notice::Booted { cold, age_ms } => self.booted(cold, (age_ms * MS as f64) as Time),
+            Notice::Reap { call, how, blob } => {
+                if let Some(inv) = self.side.find(&call) {
+                    self.reaped(inv, how, blob);
+                }
+            }
+            Notice::Call { call, blob } => {
+                let Some(inv) = self.side.find(&call) else { return };
+                let rec = self.side.rec(inv);
+                (rec.asked, rec.blob) = (Asked::Waits, Some(blob));
+                self.module(|brain, now, side| brain.needs_call(now, inv, side));
+            }
+            Notice::Info { cookie, stats } => {
+                let side = &mut self.side;
+                side.kernel.read = side.kernel.read.max(cookie.parse().unwrap_or(0));
+                let known = side.names.gauges.iter().zip(stats).filter(|(_, value)| value.is_finite());
+                side.gauges = Gauges::default();
+                known.for_each(|(name, value)| set_gauge(&mut side.gauges, name, value));
+                side.gauges_at = side.now;
+            }
+            Notice::Refused { command, call } => {
+                add(&self.side.counters.kernel_refused);
+                log!("the kernel would not carry out {command} {call}");
+                // A run that never started, or can't go on, would else hold its place until it is due.
+                let ends = matches!(command.as_str(), "SCHED" | "IODONE");
+                if let (true, Some(inv)) = (ends, self.side.find(&call)) {
+                    let empty = self.side.pool.take();
+                    self.reaped(inv, Outcome::Errored, empty);
+                }
+            }
+            Notice::Remark(_) => {}
+        }
+    }
+
+    /// The module starts when the kernel does, and believes it about being cold.
+    fn booted(&mut self, cold: bool, age: Time) {
+        if self.brain.is_some() {
+            return;
+        }
+        let settings = Settings { cold, ..self.settings.clone() };
+        let now = self.side.now;
+        log!("kernel up for {} ms, {}", age / MS, if cold { "cold" } else { "warm" });
+        self.brain = Some(Brain::start(now - age, settings, &mut self.side));
+        self.side.wake_at = now;
+    }
+
+    /// The run is over: the first answer to its invocation, if none was given, is how it ended.
+    fn reaped(&mut self, inv: Inv, how: Outcome, blob: Buf) {
+        let counters = &self.side.counters;
+        match how {
+            Outcome::Succeeded => {
+                add(&counters.runs_succeeded);
+                self.side.answer(inv, frames::SERVED, &[], &blob);
+            }
+            Outcome::Errored => {
+                add(&counters.runs_errored);
+                self.side.answer(inv, frames::FAILED, &[], b"");
+            }
+            _ => add(&counters.runs_stopped),
+        }
+        self.side.give_up_call(inv);
+        let rec = self.side.rec(inv);
+        (rec.asked, rec.stopped) = (Asked::Nothing, false);
+        self.module(|brain, now, side| brain.run_ended(now, inv, how, side));
+    }
+
+    // ---- the ledger ----
+
+    fn called(&mut self, inv: Inv, how: Outcome, reply: Option<Buf>) {
+        let counters = &self.side.counters;
+        add(match how {
+            Outcome::Succeeded => &counters.calls_succeeded,
+            Outcome::Throttled => &counters.calls_throttled,
+            Outcome::NoAnswer => &counters.calls_expired,
+            Outcome::NoConnection | Outcome::ConnectionLost => &counters.calls_lost,
+            _ => &counters.calls_errored,
+        });
+        let now = self.side.now;
+        let rec = self.side.rec(inv);
+        let Some((number, began)) = rec.call.take() else { return };
+        let owed = rec.to.is_some();
+        self.side.calls.retain(|call| call.1 != number);
+        // One that is answered or whose caller left is ended by the kernel itself.
+        if let (Some(reply), Outcome::Succeeded, true) = (reply, how, owed) {
+            let rec = self.side.rec(inv);
+            (rec.asked, rec.blob) = (Asked::GoOn, Some(reply));
+            self.side.command(inv);
+        }
+        self.module(|brain, _, side| brain.call_ended(now, inv, how, now - began, side));
+    }
+}
+
+impl Side {
+    /// Indices come from the module and from `index`: each names an open one.
+    fn rec(&mut self, inv: Inv) -> &mut Open {
+        self.open[inv].as_mut().expect("an index in use")
+    }
+
+    fn find(&self, call: &str) -> Option<Inv> {
+        self.index.get(&Txn::try_from(call.as_bytes()).ok()?).copied()
+    }
+
+    fn open(&mut self, open: Open) -> Inv {
+        let inv = self.free.pop().unwrap_or_else(|| {
+            self.open.push(None);
+            self.open.len() - 1
+        });
+        self.index.insert(open.txn, inv);
+        self.open[inv] = Some(open);
+        inv
+    }
+
+    fn owe(&mut self, inv: Inv, peer: Rc<Peer>, stream: u32) {
+        peer.open.borrow_mut().push((stream, inv));
+        peer.active_at.set(self.now);
+        self.rec(inv).to = Some((peer, stream));
+        self.owed += 1;
+    }
+
+    /// Nothing is owed for it any more; returns to whom it was.
+    fn settle(&mut self, inv: Inv) -> Option<(Rc<Peer>, u32)> {
+        let (peer, stream) = self.rec(inv).to.take()?;
+        peer.open.borrow_mut().retain(|(known, _)| *known != stream);
+        peer.active_at.set(self.now);
+        self.owed -= 1;
+        Some((peer, stream))
+    }
+
+    /// The final answer, if it is still owed.
+    fn answer(&mut self, inv: Inv, code: u8, fields: &[(&str, &str)], body: &[u8]) {
+        let Some((peer, stream)) = self.settle(inv) else { return };
+        let counters = &self.counters;
+        add(match code {
+            frames::SERVED => &counters.succeeded,
+            frames::REFUSED => &counters.throttled,
+            _ => &counters.errored,
+        });
+        let frame = self.voice.with(fields, |all| frames::answer(frames::ANSWER, stream, code, all, body));
+        if peer.gone.get() {
+            add(&counters.late_answers);
+        } else {
+            peer.out.push(&frame);
+        }
+        // Guards a request that crossed the close of its connection, after this answer: it comes once more.
+        if peer.gone.get() || peer.told.get().is_some() {
+            let mut payload = self.pool.take();
+            payload.push(&frame[9..]);
+            let (txn, until) = (self.rec(inv).txn, self.now + RESENT_WITHIN);
+            self.answered.push_back(Answered { txn, peer, until, payload });
+            if self.answered.len() > RESENT_MOST {
+                self.answered.pop_front();
+            }
+        }
+    }
+
+    /// Guards against a request that crossed the close of its connection and was sent once more: under an id
+    /// that is open or answered it is the same invocation. It is not run again; its answer goes where it
+    /// came from last, at most once on a connection.
+    fn came_again(&mut self, txn: Txn, peer: &Rc<Peer>, stream: u32) -> bool {
+        if let Some(inv) = self.index.get(&txn).copied() {
+            add(&self.counters.resent);
+            self.settle(inv);
+            self.owe(inv, peer.clone(), stream);
+            return true;
+        }
+        let Some(before) = self.answered.iter_mut().find(|answered| answered.txn == txn) else {
+            return false;
+        };
+        add(&self.counters.resent);
+        if !Rc::ptr_eq(&before.peer, peer) {
+            let mut frame = Vec::new();
+            frames::frame(&mut frame, frames::ANSWER, stream, &before.payload);
+            peer.out.push(&frame);
+            before.peer = peer.clone();
+        }
+        true
+    }
+
+    /// Not to be understood: an answer is owed all the same, on stream 0 where it belongs to no request.
+    fn malformed(&mut self, peer: &Peer, stream: u32, what: &str) {
+        add(&self.counters.malformed);
+        log!("from a router, stream {stream}: {what}");
+        peer.out.push(&frames::answer(frames::ANSWER, stream, frames::FAILED, &[], b""));
+    }
+
+    // ---- commands to the kernel ----
+
+    /// Tells the kernel what is asked of an invocation now; without a link it is told once there is one.
+    fn command(&mut self, inv: Inv) {
+        self.kernel.told += 1;
+        self.rec(inv).command = self.kernel.told;
+        self.tell(inv);
+    }
+
+    fn tell(&mut self, inv: Inv) {
+        let (Some(out), Some(rec)) = (self.kernel.out.clone(), self.open[inv].as_ref()) else { return };
+        let txn = String::from_utf8_lossy(&rec.txn);
+        match (rec.stopped, rec.asked, &rec.payload, &rec.blob) {
+            (true, ..) => out.push(lines::preempt(&txn).as_bytes()),
+            (_, Asked::Run, Some(payload), _) => {
+                let service = &self.names.operations[rec.op];
+                out.push(lines::sched(&txn, service, &payload[rec.body..]).as_bytes());
+            }
+            (_, Asked::GoOn, _, Some(reply)) => out.push(lines::io_done(&txn, reply).as_bytes()),
+            _ => {}
+        }
+    }
+
+    /// On a new link all missed notices have been seen: what was told after the last command known to have
+    /// been read is told again. Guards runs and stops against a link that broke; a run that goes on already is
+    /// not started twice, as the kernel's notices would have told of its end. It may hurt where a reply was
+    /// read, and the run waits for its next call in that very moment.
+    fn relink(&mut self, out: Rc<Outbox>) {
+        self.kernel.out = Some(out);
+        for inv in 0..self.open.len() {
+            let Some(rec) = self.open[inv].as_mut() else { continue };
+            if rec.command <= self.kernel.read {
+                continue;
+            }
+            if rec.stopped && rec.asked != Asked::Nothing {
+                rec.stopped = false; // what came before the stop, first
+                self.tell(inv);
+                self.rec(inv).stopped = true;
+            }
+            add(&self.counters.kernel_resent);
+            self.tell(inv);
+        }
+        self.ask_gauges();
+    }
+
+    /// The gauges come back with the number of the last command told: what the kernel has read.
+    fn ask_gauges(&mut self) {
+        if let Some(out) = self.kernel.out.as_ref().filter(|out| out.len() < KERNEL_BEHIND) {
+            out.push(lines::sysinfo(&self.kernel.told.to_string()).as_bytes());
+        }
+    }
+
+    // ---- calls ----
+
+    fn give_up_call(&mut self, inv: Inv) {
+        let rec = self.rec(inv);
+        let txn = rec.txn;
+        if let Some((number, _)) = rec.call.take() {
+            self.calls.retain(|call| call.1 != number);
+            add(&self.counters.calls_abandoned);
+            self.ledger.push(Command::Abandon { txn, late: false });
+        }
+    }
+}
+
+impl Host for Side {
+    fn run(&mut self, inv: Inv) {
+        add(&self.counters.runs);
+        let rec = self.rec(inv);
+        (rec.asked, rec.stopped) = (Asked::Run, false);
+        self.command(inv);
+    }
+    fn throttle(&mut self, inv: Inv, back: Time, give_up: bool) {
+        let later = (back / MS).to_string();
+        let fields = [("later", later.as_str()), ("giveup", "1")];
+        let from = usize::from(back < MS);
+        self.answer(inv, frames::REFUSED, &fields[from..if give_up { 2 } else { 1 }], b"");
+    }
+    fn error(&mut self, inv: Inv) {
+        self.answer(inv, frames::FAILED, &[], b"");
+    }
+    fn stop(&mut self, inv: Inv) {
+        add(&self.counters.stops);
+        self.rec(inv).stopped = true;
+        self.command(inv);
+    }
+    fn call(&mut self, inv: Inv, within: Time) {
+        add(&self.counters.calls);
+        self.call_number += 1;
+        let (number, now) = (self.call_number, self.now);
+        let mut text = self.pool.take();
+        let rec = self.open[inv].as_mut().expect("an index in use");
+        let body = rec.blob.as_deref().unwrap_or(&[]);
+        text.push(&lines::post(&String::from_utf8_lossy(&rec.txn), (within / MS).max(1), body));
+        rec.call = Some((number, now));
+        let txn = rec.txn;
+        self.calls.insert((now + within + CALL_MARGIN, number, inv));
+        self.ledger.push(Command::Post { txn, number, text });
+    }
+    /// Settings that would let the module skip a call, keep an entry or use one again end the start.
+    fn skip_call(&mut self, _inv: Inv) {
+        log!("skipping a call is not offered here");
+    }
+    fn keep(&mut self, _inv: Inv, _span: Time) {}
+    fn reuse(&mut self, _inv: Inv) {
+        log!("answering from another's result is not offered here");
+    }
+    fn health(&mut self, good: bool, _stored: bool) {
+        self.voice.good.set(good);
+    }
+    fn advertise(&mut self, value: f64) {
+        self.voice.feedback.set(Some(value));
+    }
+    fn close_idle(&mut self, after: Time) {
+        self.voice.idle.set(Some(after));
+    }
+    fn wake(&mut self, after: Time) {
+        self.wake_at = self.now + after;
+    }
+    fn log(&mut self, line: &str) {
+        log!("{line}");
+    }
+    /// The one place where an index and all that hangs on it is given back.
+    fn release(&mut self, inv: Inv) {
+        self.answer(inv, frames::FAILED, &[], b""); // where none was given: none is left without
+        self.give_up_call(inv);
+        if let Some(open) = self.open[inv].take() {
+            self.index.remove(&open.txn);
+            self.free.push(inv);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/counters.rs
@@ -0,0 +1,57 @@
+//! What was taken in, sent and answered, as one line on request (SIGUSR1) and at exit.
+
+use std::cell::Cell;
+
+macro_rules! counters {
+    ($($name:ident: $meaning:literal),* $(,)?) => {
+        #[derive(Default)]
+        pub struct Counters {
+            $(#[doc = $meaning] pub $name: Cell<u64>,)*
+        }
+
+        impl Counters {
+            pub fn line(&self) -> String {
+                let pairs = [$((stringify!($name), self.$name.get())),*];
+                let pairs: Vec<String> = pairs.iter().map(|(name, value)| format!("{name} {value}")).collect();
+                pairs.join(", ")
+            }
+        }
+    };
+}
+
+counters! {
+    connections: "router connections accepted",
+    idle_closed: "closed for idling, at the module's word or to make room",
+    stuck_closed: "closed as the peer left a frame half sent or read nothing",
+    checks: "health checks answered",
+    invocations: "invocations taken in",
+    resent: "invocations that came again under their id on another connection",
+    malformed: "frames or lines that could not be read",
+    caller_left: "invocations whose caller left",
+    succeeded: "answers of success",
+    throttled: "answers of throttling",
+    errored: "answers of error",
+    late_answers: "answers whose connection was gone",
+    runs: "runs started",
+    stops: "runs stopped",
+    runs_succeeded: "runs that ended well",
+    runs_errored: "runs that failed",
+    runs_stopped: "runs that were stopped or had nothing to do",
+    kernel_links: "links made to the kernel",
+    kernel_resent: "commands sent again on a new link",
+    kernel_refused: "commands the kernel would not carry out",
+    calls: "calls posted to the ledger",
+    calls_succeeded: "calls posted well",
+    calls_throttled: "calls turned away",
+    calls_errored: "calls that failed",
+    calls_expired: "calls that ran out of time",
+    calls_lost: "calls whose connection broke or never came about",
+    calls_abandoned: "calls given up from here",
+    reports: "reports the roster took",
+    reports_lost: "reports that were not answered as due",
+    clock_late_ms: "the latest the module's timer ever came, in milliseconds",
+}
+
+pub fn add(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
--- /dev/null
+++ b/server/src/frames.rs
@@ -0,0 +1,159 @@
+//! The routers' binary frames: read from bytes, written to bytes. No I/O.
+
+use cypresscleat::api::Time;
+
+pub const REQUEST: u8 = 2;
+pub const ANSWER: u8 = 4;
+pub const LEFT: u8 = 8;
+pub const CHECK: u8 = 16;
+pub const CHECKED: u8 = 32;
+pub const NO_MORE: u8 = 64;
+
+pub const SERVED: u8 = 79;
+pub const REFUSED: u8 = 66;
+pub const FAILED: u8 = 69;
+
+/// Bounds of a frame's length, of a request's body and of a result.
+const LENGTH: std::ops::RangeInclusive<usize> = 5..=262_144;
+pub const BODY: usize = 2048;
+pub const RESULT: usize = 4096;
+/// Bytes of a frame before its payload: length, type, stream.
+const HEAD: usize = 9;
+
+#[derive(Debug, PartialEq)]
+pub enum Next<'a> {
+    /// Not all of it is here.
+    More,
+    Frame {
+        kind: u8,
+        stream: u32,
+        payload: &'a [u8],
+        size: usize,
+    },
+    /// Too large to be held, though not against the protocol: to be skipped.
+    Large {
+        kind: u8,
+        stream: u32,
+        size: usize,
+    },
+    /// Where the next frame begins can't be known any more.
+    Broken {
+        length: usize,
+    },
+}
+
+/// The first frame in `bytes`, of which `most` fit a buffer.
+pub fn next(bytes: &[u8], most: usize) -> Next<'_> {
+    let Some(head) = bytes.get(..HEAD) else {
+        return match bytes.get(..4).map(length) {
+            Some(length) if !LENGTH.contains(&length) => Next::Broken { length },
+            _ => Next::More,
+        };
+    };
+    let length = length(head);
+    if !LENGTH.contains(&length) {
+        return Next::Broken { length };
+    }
+    let (kind, size) = (head[4], length + 4);
+    let stream = u32::from_be_bytes([head[5], head[6], head[7], head[8]]);
+    match bytes.get(HEAD..size) {
+        Some(payload) => Next::Frame { kind, stream, payload, size },
+        None if size > most => Next::Large { kind, stream, size },
+        None => Next::More,
+    }
+}
+
+fn length(bytes: &[u8]) -> usize {
+    u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]) as usize
+}
+
+/// Splits a payload into its fields and the body behind them.
+pub fn fields(payload: &[u8]) -> Option<(Vec<(&str, &str)>, &[u8])> {
+    let (count, mut rest) = payload.split_first()?;
+    let mut fields = Vec::with_capacity(*count as usize);
+    for _ in 0..*count {
+        let (size, more) = rest.split_first()?;
+        let (name, more) = more.split_at_checked(*size as usize)?;
+        let (size, more) = more.split_at_checked(2)?;
+        let (value, more) = more.split_at_checked(u16::from_be_bytes([size[0], size[1]]) as usize)?;
+        fields.push((std::str::from_utf8(name).ok()?, std::str::from_utf8(value).ok()?));
+        rest = more;
+    }
+    Some((fields, rest))
+}
+
+pub type Txn = [u8; 16];
+
+/// What the fields of a request say; names are those of the settings.
+#[derive(Debug, PartialEq)]
+pub struct Request<'a> {
+    pub txn: Txn,
+    pub operation: &'a str,
+    pub customer: Option<&'a str>,
+    /// Unix time, in tenths of a millisecond.
+    pub door: Time,
+    pub hint: Option<f64>,
+    pub kb: f64,
+    pub rank: f64,
+    pub keyed: bool,
+    pub body: &'a [u8],
+}
+
+pub fn request(payload: &[u8]) -> Result<Request<'_>, String> {
+    let (fields, body) = fields(payload).ok_or("fields that can't be read")?;
+    if body.len() > BODY {
+        return Err(format!("a body of {} bytes", body.len()));
+    }
+    let get = |name: &str| fields.iter().find(|(known, _)| *known == name).map(|(_, value)| *value);
+    let need = |name: &str| get(name).ok_or_else(|| format!("no {name}"));
+    let number = |name: &str, value: &str| match value.parse::<f64>() {
+        Ok(number) if number.is_finite() && number >= 0.0 => Ok(number),
+        _ => Err(format!("{name} {value:?}")),
+    };
+    let txn = need("txn")?;
+    let txn = match Txn::try_from(txn.as_bytes()) {
+        Ok(word) if word.iter().all(u8::is_ascii_hexdigit) => word,
+        _ => return Err(format!("txn {txn:?}")),
+    };
+    let hint = get("cpu").map(|value| number("cpu", value)).transpose()?;
+    Ok(Request {
+        txn,
+        operation: need("verb")?,
+        customer: get("team"),
+        door: (number("door", need("door")?)? * 10.0) as Time,
+        hint: hint.filter(|ms| *ms > 0.0).map(|ms| ms * 10.0),
+        kb: number("ram", need("ram")?)?,
+        rank: get("standing").map_or(Ok(0.0), |value| number("standing", value))?,
+        keyed: get("item").is_some(),
+        body,
+    })
+}
+
+/// A frame with its payload.
+pub fn frame(out: &mut Vec<u8>, kind: u8, stream: u32, payload: &[u8]) {
+    out.extend((payload.len() as u32 + 5).to_be_bytes());
+    out.push(kind);
+    out.extend(stream.to_be_bytes());
+    out.extend(payload);
+}
+
+pub fn put_fields(out: &mut Vec<u8>, fields: &[(&str, &str)]) {
+    out.push(fields.len() as u8);
+    for (name, value) in fields {
+        out.push(name.len() as u8);
+        out.extend(name.as_bytes());
+        out.extend((value.len() as u16).to_be_bytes());
+        out.extend(value.as_bytes());
+    }
+}
+
+/// An answer, or with `CHECKED` that to a health check: code, fields, body.
+pub fn answer(kind: u8, stream: u32, code: u8, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut payload = Vec::with_capacity(body.len() + 64);
+    payload.push(code);
+    put_fields(&mut payload, fields);
+    payload.extend(body);
+    let mut out = Vec::with_capacity(payload.len() + HEAD);
+    frame(&mut out, kind, stream, &payload);
+    out
+}
--- /dev/null
+++ b/server/src/front.rs
@@ -0,0 +1,260 @@
+//! The routers' connections: accepts them, reads frames, writes outboxes, closes what idles or is stuck.
+
+use crate::clock::{Clock, MS};
+use crate::core::{Note, Peer, Shared};
+use crate::counters::add;
+use crate::frames::{self, Next};
+use crate::log;
+use crate::pool::{Buf, SIZE};
+use cypresscleat::api::Time;
+use std::cell::{Cell, RefCell};
+use std::io::{self, ErrorKind};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc::Sender, Notify};
+
+/// Nothing more is read from a connection while more than this waits to be written to it.
+const BEHIND: usize = 16 * SIZE;
+/// A frame half sent, or an outbox of which nothing is read, for longer than this ends its connection.
+const STUCK: Time = 15_000 * MS;
+/// A connection told to take no new request is closed from here after this long without one.
+const TOLD: Time = 1_000 * MS;
+const SWEEP: Duration = Duration::from_millis(50);
+const NO_ROOM: Duration = Duration::from_millis(5);
+
+struct Conn {
+    peer: Rc<Peer>,
+    /// The connection is to end: once nothing is open on it, or at once.
+    close: Cell<bool>,
+    kill: Cell<bool>,
+    half_since: Cell<Option<Time>>,
+    written: Cell<(u64, Time)>,
+}
+
+pub struct Front {
+    shared: Shared,
+    queue: Sender<Note>,
+    clock: Clock,
+    most: usize,
+    conns: RefCell<Vec<Rc<Conn>>>,
+    left: Notify,
+}
+
+impl Front {
+    pub fn new(shared: &Shared, queue: Sender<Note>, clock: Clock, most: usize) -> Rc<Front> {
+        let (shared, conns, left) = (shared.clone(), RefCell::default(), Notify::new());
+        Rc::new(Front { shared, queue, clock, most: most.max(1), conns, left })
+    }
+
+    pub fn connections(&self) -> usize {
+        self.conns.borrow().len()
+    }
+
+    pub async fn accept(self: Rc<Front>, listener: TcpListener) {
+        loop {
+            while self.connections() >= self.most {
+                self.make_room();
+                self.left.notified().await;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => self.serve(stream),
+                Err(error) => {
+                    log!("accept: {error}");
+                    tokio::time::sleep(NO_ROOM).await;
+                }
+            }
+        }
+    }
+
+    /// Guards the descriptors: at their limit the connection that idles longest goes, never one with an open
+    /// request. May hurt where routers come back at once.
+    fn make_room(&self) {
+        let conns = self.conns.borrow();
+        let idle = conns.iter().filter(|conn| conn.peer.is_idle() && !conn.close.get());
+        if let Some(conn) = idle.min_by_key(|conn| conn.peer.active_at.get()) {
+            self.tell(conn);
+            conn.close.set(true);
+            add(&self.shared.counters.idle_closed);
+        }
+    }
+
+    /// No new request on this connection.
+    fn tell(&self, conn: &Conn) {
+        if conn.peer.told.get().is_none() {
+            conn.peer.told.set(Some(self.clock.now()));
+            let mut frame = Vec::new();
+            frames::frame(&mut frame, frames::NO_MORE, 0, b"");
+            conn.peer.out.push(&frame);
+        }
+    }
+
+    /// Looks at all connections from time to time: those that idle, half-sent frames, peers that never read.
+    pub async fn sweep(self: Rc<Front>) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            let (now, most) = (self.clock.now(), self.shared.voice.idle.get());
+            for conn in self.conns.borrow().iter() {
+                let peer = &conn.peer;
+                let before = conn.written.get();
+                if peer.out.is_empty() || before.0 != peer.out.written() {
+                    conn.written.set((peer.out.written(), now));
+                }
+                let stuck = now - conn.written.get().1 > STUCK;
+                let half = conn.half_since.get().is_some_and(|since| now - since > STUCK);
+                let idles = most.is_some_and(|most| now - peer.active_at.get() >= most);
+                if stuck || half {
+                    add(&self.shared.counters.stuck_closed);
+                    log!("a router {}", if stuck { "reads nothing" } else { "left a frame half sent" });
+                    conn.kill.set(stuck);
+                    conn.close.set(true);
+                    conn.half_since.set(None);
+                    peer.out.wake.notify_one();
+                } else if peer.told.get().is_some_and(|at| now - at > TOLD) {
+                    conn.close.set(true);
+                    peer.out.wake.notify_one();
+                } else if idles && peer.is_idle() && peer.told.get().is_none() {
+                    add(&self.shared.counters.idle_closed);
+                    self.tell(conn);
+                }
+            }
+        }
+    }
+
+    fn serve(self: &Rc<Front>, stream: TcpStream) {
+        add(&self.shared.counters.connections);
+        let _ = stream.set_nodelay(true);
+        let now = self.clock.now();
+        let conn = Rc::new(Conn {
+            peer: Rc::new(Peer::new(&self.shared.pool, now)),
+            close: Cell::new(false),
+            kill: Cell::new(false),
+            half_since: Cell::new(None),
+            written: Cell::new((0, now)),
+        });
+        self.conns.borrow_mut().push(conn.clone());
+        let front = self.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(error) = front.carry(&stream, &conn).await {
+                if error.kind() != ErrorKind::ConnectionReset && error.kind() != ErrorKind::BrokenPipe {
+                    log!("a router's connection: {error}");
+                }
+            }
+            drop(stream);
+            front.conns.borrow_mut().retain(|other| !Rc::ptr_eq(other, &conn));
+            front.left.notify_one();
+            conn.peer.gone.set(true);
+            conn.peer.out.clear();
+            let _ = front.queue.send(Note::Closed { peer: conn.peer.clone() }).await;
+        });
+    }
+
+    /// Reads and writes one connection until it ends. After its end of input, or once it can't be read any
+    /// more, what is open on it is still answered.
+    async fn carry(&self, stream: &TcpStream, conn: &Conn) -> io::Result<()> {
+        let (peer, pool) = (&conn.peer, &self.shared.pool);
+        let mut reader = Reader { kept: None, skip: 0, ended: false, deaf: false };
+        loop {
+            peer.out.flush(|bytes| stream.try_write(bytes))?;
+            let over = reader.ended || reader.deaf || conn.close.get();
+            if conn.kill.get() || over && peer.is_idle() {
+                return Ok(());
+            }
+            let writes = !peer.out.is_empty();
+            let reads = !reader.ended && peer.out.len() < BEHIND;
+            let room = reader.kept.is_some() || pool.has_room();
+            tokio::select! {
+                () = peer.out.wake.notified() => {}
+                ready = stream.writable(), if writes => ready?,
+                ready = stream.readable(), if reads && room => {
+                    ready?;
+                    let mut buf = reader.kept.take().unwrap_or_else(|| pool.take());
+                    match stream.try_read(buf.spare()) {
+                        Ok(0) => reader.ended = true,
+                        Ok(many) => {
+                            buf.filled(many);
+                            self.frames(conn, &mut reader, &mut buf).await;
+                        }
+                        Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                        Err(error) => return Err(error),
+                    }
+                    conn.half_since.set(match conn.half_since.get() {
+                        _ if buf.is_empty() && reader.skip == 0 => None,
+                        since => since.or(Some(self.clock.now())),
+                    });
+                    if !buf.is_empty() {
+                        reader.kept = Some(buf);
+                    }
+                }
+                () = tokio::time::sleep(NO_ROOM), if reads && !room => {}
+            }
+        }
+    }
+
+    /// Takes all whole frames from the buffer.
+    async fn frames(&self, conn: &Conn, reader: &mut Reader, buf: &mut Buf) {
+        let peer = &conn.peer;
+        let mut at = reader.skip.min(buf.len());
+        reader.skip -= at;
+        while !reader.deaf {
+            match frames::next(&buf[at..], SIZE) {
+                Next::More => break,
+                Next::Frame { kind, stream, payload, size } => {
+                    self.frame(peer, kind, stream, payload).await;
+                    conn.half_since.set(None);
+                    at += size;
+                }
+                Next::Large { kind, stream, size } => {
+                    let stream = if kind == frames::REQUEST { stream } else { 0 };
+                    self.malformed(peer, stream, &format!("a frame of {size} bytes"));
+                    reader.skip = size - (buf.len() - at);
+                    at = buf.len();
+                }
+                Next::Broken { length } => {
+                    self.malformed(peer, 0, &format!("a frame of length {length}"));
+                    reader.deaf = true;
+                }
+            }
+        }
+        buf.consume(if reader.deaf { buf.len() } else { at });
+    }
+
+    async fn frame(&self, peer: &Rc<Peer>, kind: u8, stream: u32, payload: &[u8]) {
+        peer.active_at.set(self.clock.now());
+        let note = match kind {
+            frames::REQUEST if stream > 0 => {
+                let mut copy = self.shared.pool.take();
+                copy.push(payload);
+                peer.queued.set(peer.queued.get() + 1);
+                Note::Request { peer: peer.clone(), stream, payload: copy }
+            }
+            frames::LEFT => Note::Left { peer: peer.clone(), stream },
+            frames::CHECK => return self.check(peer, stream),
+            _ => return self.malformed(peer, 0, &format!("a frame of type {kind} on stream {stream}")),
+        };
+        let _ = self.queue.send(note).await;
+    }
+
+    /// Health checks are answered here and at once, with what the module said last.
+    fn check(&self, peer: &Peer, stream: u32) {
+        add(&self.shared.counters.checks);
+        let voice = &self.shared.voice;
+        let code = if voice.good.get() { frames::SERVED } else { frames::FAILED };
+        let frame = voice.with(&[], |fields| frames::answer(frames::CHECKED, stream, code, fields, b""));
+        peer.out.push(&frame);
+    }
+
+    fn malformed(&self, peer: &Peer, stream: u32, what: &str) {
+        add(&self.shared.counters.malformed);
+        log!("from a router, stream {stream}: {what}");
+        peer.out.push(&frames::answer(frames::ANSWER, stream, frames::FAILED, &[], b""));
+    }
+}
+
+struct Reader {
+    kept: Option<Buf>,
+    /// Bytes of a large frame still to be passed over.
+    skip: usize,
+    ended: bool,
+    deaf: bool,
+}
--- /dev/null
+++ b/server/src/lines.rs
@@ -0,0 +1,155 @@
+//! The kernel's JSON lines and the ledger's lines: read from bytes, written to bytes. No I/O.
+
+use crate::pool::{Buf, Pool};
+use base64::{engine::general_purpose::STANDARD, Engine};
+use cypresscleat::api::Outcome;
+use serde_json::{json, Value};
+use std::rc::Rc;
+
+/// The first line in `bytes` without its end, and the size with it.
+pub fn next(bytes: &[u8]) -> Option<(&[u8], usize)> {
+    let end = bytes.iter().position(|byte| *byte == b'\n')?;
+    let line = &bytes[..end];
+    Some((line.strip_suffix(b"\r").unwrap_or(line), end + 1))
+}
+
+// ---- the kernel ----
+
+pub enum Notice {
+    Booted { cold: bool, age_ms: f64 },
+    Reap { call: String, how: Outcome, blob: Buf },
+    Call { call: String, blob: Buf },
+    Info { cookie: String, stats: Vec<f64> },
+    Refused { command: String, call: String },
+    Remark(String),
+}
+
+/// The number of a notice, where it has one, and what it says.
+pub fn notice(line: &[u8], pool: &Rc<Pool>) -> (Option<u64>, Result<Notice, String>) {
+    match serde_json::from_slice::<Value>(line) {
+        Ok(all) => (all["serial"].as_u64(), read_notice(&all, pool)),
+        Err(error) => (None, Err(error.to_string())),
+    }
+}
+
+fn read_notice(all: &Value, pool: &Rc<Pool>) -> Result<Notice, String> {
+    let text = |key: &str| all[key].as_str().ok_or_else(|| format!("no {key}"));
+    let call = || text("call").map(str::to_string);
+    let blob = || {
+        let mut blob = pool.take();
+        let text = all["blob"].as_str().unwrap_or("");
+        let size = STANDARD.decode_slice(text, blob.spare()).map_err(|error| format!("blob: {error}"))?;
+        blob.filled(size);
+        Ok::<Buf, String>(blob)
+    };
+    let how = text("how");
+    Ok(match (text("msg")?, how) {
+        ("BOOTED", Ok(how @ ("COLD" | "WARM"))) => {
+            Notice::Booted { cold: how == "COLD", age_ms: all["duration"].as_f64().unwrap_or(0.0).max(0.0) }
+        }
+        ("REAP", Ok(how)) => {
+            let how = match how {
+                "OK" => Outcome::Succeeded,
+                "ERROR" => Outcome::Errored,
+                "STOPPED" => Outcome::CalledOff,
+                "MOOT" => Outcome::NotStarted,
+                _ => return Err(format!("how {how:?}")),
+            };
+            Notice::Reap { call: call()?, how, blob: blob()? }
+        }
+        ("IOREQ", _) => Notice::Call { call: call()?, blob: blob()? },
+        ("INFO", _) => {
+            let stats = all["stats"].as_array().map_or(&[][..], Vec::as_slice);
+            let stats = stats.iter().map(|value| value.as_f64().unwrap_or(f64::NAN)).collect();
+            Notice::Info { cookie: text("cookie")?.to_string(), stats }
+        }
+        ("EINVAL", Ok(how)) => Notice::Refused { command: how.to_string(), call: call().unwrap_or_default() },
+        ("DMESG", how) => Notice::Remark(how.unwrap_or("").to_string()),
+        (msg, how) => return Err(format!("msg {msg:?} how {how:?}")),
+    })
+}
+
+fn line(value: Value) -> String {
+    format!("{value}\n")
+}
+
+pub fn open(serial: u64) -> String {
+    line(json!({"msg": "OPEN", "serial": serial}))
+}
+pub fn sched(call: &str, service: &str, body: &[u8]) -> String {
+    line(json!({"msg": "SCHED", "call": call, "service": service, "blob": STANDARD.encode(body)}))
+}
+pub fn preempt(call: &str) -> String {
+    line(json!({"msg": "PREEMPT", "call": call}))
+}
+pub fn io_done(call: &str, reply: &[u8]) -> String {
+    line(json!({"msg": "IODONE", "call": call, "blob": STANDARD.encode(reply)}))
+}
+pub fn sysinfo(cookie: &str) -> String {
+    line(json!({"msg": "SYSINFO", "cookie": cookie}))
+}
+
+// ---- the ledger ----
+
+pub fn post(call: &str, within_ms: i64, body: &[u8]) -> Vec<u8> {
+    let mut out = format!("post {call} {within_ms} {}\r\n", body.len()).into_bytes();
+    out.extend(body);
+    out.extend(b"\r\n");
+    out
+}
+pub fn abandon(call: &str) -> String {
+    format!("abandon {call}\r\n")
+}
+
+/// How a call ended, told truly of whether it ran, with the body of its reply.
+#[derive(Debug, PartialEq)]
+pub struct Reply<'a> {
+    pub call: &'a str,
+    pub how: Outcome,
+    pub body: &'a [u8],
+}
+
+#[derive(Debug, PartialEq)]
+pub enum NextReply<'a> {
+    More,
+    Reply(Reply<'a>, usize),
+    /// A line that means nothing: to be skipped.
+    Unknown(usize),
+    /// Where the next reply begins can't be known any more.
+    Broken(String),
+}
+
+/// The first reply in `bytes`, of which `most` fit a buffer.
+pub fn reply(bytes: &[u8], most: usize) -> NextReply<'_> {
+    let Some((line, size)) = next(bytes) else {
+        let broken = bytes.len() >= most;
+        return if broken { NextReply::Broken("a line without end".into()) } else { NextReply::More };
+    };
+    let Ok(text) = std::str::from_utf8(line) else { return NextReply::Unknown(size) };
+    let words: Vec<&str> = text.split(' ').collect();
+    let (call, how) = match words[..] {
+        [call, "posted", length] => {
+            let Ok(length) = length.parse::<usize>() else {
+                return NextReply::Broken(format!("{text:?}"));
+            };
+            let whole = size.saturating_add(length).saturating_add(2);
+            if whole > most {
+                return NextReply::Broken(format!("a reply of {length} bytes"));
+            }
+            return match bytes.get(size..whole) {
+                None => NextReply::More,
+                Some(tail) if tail.ends_with(b"\r\n") => {
+                    let body = &tail[..length];
+                    NextReply::Reply(Reply { call, how: Outcome::Succeeded, body }, whole)
+                }
+                Some(_) => NextReply::Broken(format!("{text:?} is not followed by its reply")),
+            };
+        }
+        [call, "queue_full"] => (call, Outcome::Throttled),
+        [call, "error"] => (call, Outcome::Errored),
+        [call, "expired"] => (call, Outcome::NoAnswer),
+        [call, "moot"] => (call, Outcome::NotStarted),
+        _ => return NextReply::Unknown(size),
+    };
+    NextReply::Reply(Reply { call, how, body: b"" }, size)
+}
--- /dev/null
+++ b/server/src/log.rs
@@ -0,0 +1,37 @@
+//! One macro for every log line, to standard error, rate-limited.
+
+use std::cell::Cell;
+use std::time::Instant;
+
+/// Lines a second; what is more is counted and told of once.
+const MOST: u32 = 40;
+
+thread_local! {
+    static WINDOW: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
+}
+
+/// Whether a line may be written now; where lines were left out before, says how many.
+pub fn may_write(now: Instant) -> (bool, u32) {
+    WINDOW.with(|window| {
+        let (since, count) = window.get();
+        if since.is_none_or(|since| now.duration_since(since).as_secs() >= 1) {
+            window.set((Some(now), 1));
+            return (true, count.saturating_sub(MOST));
+        }
+        window.set((since, count.saturating_add(1)));
+        (count < MOST, 0)
+    })
+}
+
+#[macro_export]
+macro_rules! log {
+    ($($part:tt)*) => {{
+        let (may, left_out) = $crate::log::may_write(std::time::Instant::now());
+        if left_out > 0 {
+            eprintln!("cypresscleat: {left_out} lines left out");
+        }
+        if may {
+            eprintln!("cypresscleat: {}", format_args!($($part)*));
+        }
+    }};
+}
--- /dev/null
+++ b/server/src/main.rs
@@ -0,0 +1,98 @@
+//! Wires the tasks of one app server together, and its signals.
+
+use cypresscleat_server::clock::{unix, Clock};
+use cypresscleat_server::config::{self, Config};
+use cypresscleat_server::core::{Core, Note, Shared};
+use cypresscleat_server::front::Front;
+use cypresscleat_server::{kernel, ledger, log, pool, roster};
+use std::io;
+use std::process::ExitCode;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::{channel, Receiver};
+use tokio::task::{spawn_local, LocalSet};
+
+/// Messages that may stand in the queue.
+const QUEUE: usize = 256;
+/// Descriptors kept back for the links, the listener, signals and the log.
+const KEPT_BACK: usize = 32;
+/// The part of the memory that buffers may take.
+const BUFFERS: u64 = 4;
+const BACKLOG: u32 = 1024;
+
+fn main() -> ExitCode {
+    let config = match config::read() {
+        Ok(config) => config,
+        Err(what) => {
+            log!("{what}");
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let served = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, serve(config)));
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn listen(config: &Config) -> io::Result<TcpListener> {
+    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(config.listen)?;
+    socket.listen(BACKLOG)
+}
+
+async fn serve(config: Config) -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut usr1 = signal(SignalKind::user_defined1())?;
+    let listener = listen(&config)
+        .map_err(|error| io::Error::new(error.kind(), format!("listen {}: {error}", config.listen)))?;
+    log!("{} listens on {}", config.name, config.listen);
+    let shared = Shared::new((config.memory_mb << 20) as usize / BUFFERS as usize / pool::SIZE);
+    let (queue, notes) = channel(QUEUE);
+    let clock = Clock::start();
+    let front = Front::new(&shared, queue.clone(), clock, config.sockets - KEPT_BACK);
+    spawn_local(front.clone().accept(listener));
+    spawn_local(front.clone().sweep());
+    spawn_local(kernel::link(config.kernel, shared.clone(), queue.clone()));
+    spawn_local(ledger::link(config.ledger, shared.clone(), queue.clone()));
+    if let Some(address) = config.roster {
+        spawn_local(roster::report(address, config.name.clone(), shared.clone()));
+    }
+    let core = Core::new(config.settings, config.names, &shared);
+    let core = spawn_local(run(core, notes, clock));
+    loop {
+        tokio::select! {
+            _ = usr1.recv() => log!("{}", shared.counters.line()),
+            _ = term.recv() => {
+                let _ = queue.send(Note::Leave { within: config.stop }).await;
+                break;
+            }
+        }
+    }
+    let _ = tokio::time::timeout(std::time::Duration::from_millis(config.stop as u64 / 10), core).await;
+    log!("stopped: {}", shared.counters.line());
+    Ok(())
+}
+
+/// The one task that owns the module: its timer first, then the queue.
+async fn run(mut core: Core, mut notes: Receiver<Note>, clock: Clock) {
+    loop {
+        let due = clock.instant(core.wake_at().min(clock.now() + 10_000));
+        tokio::select! {
+            biased;
+            () = tokio::time::sleep_until(due.into()) => {}
+            note = notes.recv() => match note {
+                Some(note) => core.take(clock.now(), unix(), note),
+                None => return,
+            },
+        }
+        if clock.now() >= core.wake_at() {
+            core.tick(clock.now());
+        }
+    }
+}
--- /dev/null
+++ b/server/src/pool.rs
@@ -0,0 +1,172 @@
+//! Buffers of one size, used again, and the outboxes made of them. A buffer goes back where it is dropped.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind};
+use std::ops::Deref;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Holds any frame or line that the protocol allows: a result of 4 KiB, in base64 too.
+pub const SIZE: usize = 8192;
+
+type Block = Box<[u8; SIZE]>;
+
+pub struct Pool {
+    free: RefCell<Vec<Block>>,
+    out: Cell<usize>,
+    most: usize,
+}
+
+impl Pool {
+    pub fn new(most: usize) -> Rc<Pool> {
+        Rc::new(Pool { free: RefCell::default(), out: Cell::new(0), most: most.max(16) })
+    }
+
+    /// A buffer for what must be written: answers and commands are bounded by what was taken in.
+    pub fn take(self: &Rc<Pool>) -> Buf {
+        let block = self.free.borrow_mut().pop().unwrap_or_else(|| Box::new([0; SIZE]));
+        self.out.set(self.out.get() + 1);
+        Buf { block: Some(block), len: 0, pool: self.clone() }
+    }
+
+    /// Whether more may be read: the last eighth is left to what must be written. Guards memory against more
+    /// input than can be held; then reading waits, as behind a slow server.
+    pub fn has_room(&self) -> bool {
+        self.out.get() < self.most - self.most / 8
+    }
+
+    pub fn out(&self) -> usize {
+        self.out.get()
+    }
+}
+
+pub struct Buf {
+    block: Option<Block>,
+    len: usize,
+    pool: Rc<Pool>,
+}
+
+impl Buf {
+    /// Adds what fits; returns how much that was.
+    pub fn push(&mut self, bytes: &[u8]) -> usize {
+        let many = bytes.len().min(SIZE - self.len);
+        self.spare()[..many].copy_from_slice(&bytes[..many]);
+        self.len += many;
+        many
+    }
+    pub fn spare(&mut self) -> &mut [u8] {
+        let len = self.len;
+        self.block.as_mut().map_or(&mut [], |block| &mut block[len..])
+    }
+    pub fn filled(&mut self, more: usize) {
+        self.len = (self.len + more).min(SIZE);
+    }
+    /// Drops the first bytes; the rest moves to the front.
+    pub fn consume(&mut self, many: usize) {
+        let (many, len) = (many.min(self.len), self.len);
+        if let Some(block) = self.block.as_mut() {
+            block.copy_within(many..len, 0);
+        }
+        self.len -= many;
+    }
+}
+
+impl Deref for Buf {
+    type Target = [u8];
+    fn deref(&self) -> &[u8] {
+        self.block.as_ref().map_or(&[], |block| &block[..self.len])
+    }
+}
+
+impl Drop for Buf {
+    fn drop(&mut self) {
+        if let Some(block) = self.block.take() {
+            self.pool.out.set(self.pool.out.get() - 1);
+            let mut free = self.pool.free.borrow_mut();
+            if free.len() < self.pool.most {
+                free.push(block);
+            }
+        }
+    }
+}
+
+/// What waits to be written to one peer, in order.
+pub struct Outbox {
+    pool: Rc<Pool>,
+    chunks: RefCell<VecDeque<Buf>>,
+    head: Cell<usize>,
+    bytes: Cell<usize>,
+    written: Cell<u64>,
+    pub wake: Notify,
+}
+
+impl Outbox {
+    pub fn new(pool: &Rc<Pool>) -> Outbox {
+        Outbox {
+            pool: pool.clone(),
+            chunks: RefCell::default(),
+            head: Cell::new(0),
+            bytes: Cell::new(0),
+            written: Cell::new(0),
+            wake: Notify::new(),
+        }
+    }
+
+    pub fn push(&self, mut bytes: &[u8]) {
+        let mut chunks = self.chunks.borrow_mut();
+        self.bytes.set(self.bytes.get() + bytes.len());
+        while !bytes.is_empty() {
+            let many = chunks.back_mut().map_or(0, |last| last.push(bytes));
+            bytes = &bytes[many..];
+            if !bytes.is_empty() {
+                chunks.push_back(self.pool.take());
+            }
+        }
+        self.wake.notify_one();
+    }
+
+    pub fn len(&self) -> usize {
+        self.bytes.get()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.bytes.get() == 0
+    }
+    /// Bytes that have left it since its start.
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+    /// Where the next byte pushed will stand, counted like `written`.
+    pub fn end(&self) -> u64 {
+        self.written.get() + self.bytes.get() as u64
+    }
+    pub fn clear(&self) {
+        self.chunks.borrow_mut().clear();
+        self.head.set(0);
+        self.bytes.set(0);
+    }
+
+    /// Writes until the peer takes no more; `write` is a socket's non-blocking write.
+    pub fn flush(&self, mut write: impl FnMut(&[u8]) -> io::Result<usize>) -> io::Result<()> {
+        let mut chunks = self.chunks.borrow_mut();
+        while let Some(first) = chunks.front() {
+            let left = &first[self.head.get()..];
+            let many = match write(left) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(many) => many,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                Err(error) => return Err(error),
+            };
+            self.bytes.set(self.bytes.get() - many);
+            self.written.set(self.written.get() + many as u64);
+            if many == left.len() {
+                chunks.pop_front();
+                self.head.set(0);
+            } else {
+                self.head.set(self.head.get() + many);
+            }
+        }
+        Ok(())
+    }
+}
--- a/wirehost/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,12 +1,30 @@
-//! Reads the settings of an `OPEN_INSTANCE` message; unknown keys are skipped, absent ones read as zero.
+//! Reads the settings of one app server from their JSON form, for every adapter; unknown keys are skipped,
+//! absent ones read as zero.
 
 use cypresscleat::api::*;
 use serde_json::Value;
 
-/// Names by index, for the lines that carry them.
+/// Nanoseconds in a tenth of a millisecond.
+pub const NS: i64 = 100_000;
+
+/// Names by index, for the messages that carry them.
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     pub operations: Vec<String>,
     pub customers: Vec<String>,
+    /// What the gauges are called, in the order in which they are told.
+    pub gauges: Vec<String>,
+}
+
+/// Sets the gauge of that name; others are of no use to the module.
+pub fn set_gauge(read: &mut Gauges, name: &str, value: f64) {
+    match name {
+        "core_use" => read.core_use = Some(value),
+        "on_cores" => read.on_cores = Some(value),
+        "heap_share" => read.memory = Some(value),
+        "links" => read.links = Some(value),
+        _ => {}
+    }
 }
 
 fn number(value: &Value) -> f64 {
@@ -14,7 +32,7 @@
 }
 
 fn span(value: &Value) -> Time {
-    (number(value) / super::NS as f64) as Time
+    (number(value) / NS as f64) as Time
 }
 
 fn flag(value: &Value) -> bool {
@@ -30,10 +48,15 @@
     rows(value).iter().map(|row| name(row).ok_or_else(|| format!("no name in {row}"))).collect()
 }
 
-pub fn read(text: &str, seed: u64) -> Result<(Settings, Names), String> {
-    let all: Value = serde_json::from_str(text).map_err(|error| format!("boot_info: {error}"))?;
+pub fn read_text(text: &str, seed: u64) -> Result<(Settings, Names), String> {
+    read(&serde_json::from_str(text).map_err(|error| error.to_string())?, seed)
+}
+
+pub fn read(all: &Value, seed: u64) -> Result<(Settings, Names), String> {
     let (own, rules) = (&all["specifics"], &all["obligations"]);
-    let names = Names { operations: names(&all["categories"])?, customers: names(&all["customers"])? };
+    let gauges = rows(&own["gauges"]).iter().map(|name| name.as_str().unwrap_or("").to_string()).collect();
+    let names =
+        Names { operations: names(&all["categories"])?, customers: names(&all["customers"])?, gauges };
     let operation = |(at, row): (usize, &Value)| {
         Ok(Operation {
             objective: span(&row["aim_ns"]),
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -1,16 +1,12 @@
 //! Reads event batches, hosts one `Brain` per instance, writes one reply per batch. Decides nothing.
 
-mod settings;
-
 use cypresscleat::api::*;
 use cypresscleat::Brain;
-use settings::Names;
+use cypresscleat_settings::{self as settings, Names, NS};
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::io::{self, BufRead, Write};
 
-const NS: i64 = 100_000; // nanoseconds in a tenth of a millisecond
-
 /// Ids of one instance: words to indices and back; a freed index is used again.
 #[derive(Default)]
 struct Ids {
@@ -153,14 +149,7 @@
     let mut read = Gauges::default();
     for pair in pairs.unwrap_or("").split(',').filter(|pair| !pair.is_empty()) {
         let (name, value) = pair.split_once(':').ok_or_else(|| format!("gauge {pair:?} has no value"))?;
-        let value = Some(parse::<f64>(value, name)?);
-        match name {
-            "core_use" => read.core_use = value,
-            "on_cores" => read.on_cores = value,
-            "heap_share" => read.memory = value,
-            "links" => read.links = value,
-            _ => {}
-        }
+        settings::set_gauge(&mut read, name, parse(value, name)?);
     }
     Ok(read)
 }
@@ -197,7 +186,8 @@
     if name == "OPEN_INSTANCE" {
         let seed: u64 = values.number("salt")?;
         let start = line.find('{').ok_or("boot_info is missing")?;
-        let (settings, names) = settings::read(&line[start..], seed)?;
+        let (settings, names) =
+            settings::read_text(&line[start..], seed).map_err(|what| format!("boot_info: {what}"))?;
         let mut ids = Ids::default();
         let brain = Brain::start(now, settings, &mut Wire { out, who, ids: &mut ids });
         hosted.insert(who, Instance { brain, ids, names });
