--- a/server/src/frames.rs
+++ b/server/src/frames.rs
@@ -67,8 +67,11 @@
     u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]) as usize
 }
 
+/// Name and value.
+type Field<'a> = (&'a str, &'a str);
+
 /// Splits a payload into its fields and the body behind them.
-pub fn fields(payload: &[u8]) -> Option<(Vec<(&str, &str)>, &[u8])> {
+pub fn fields(payload: &[u8]) -> Option<(Vec<Field<'_>>, &[u8])> {
     let (count, mut rest) = payload.split_first()?;
     let mut fields = Vec::with_capacity(*count as usize);
     for _ in 0..*count {
@@ -137,7 +140,7 @@
     out.extend(payload);
 }
 
-pub fn put_fields(out: &mut Vec<u8>, fields: &[(&str, &str)]) {
+pub fn put_fields(out: &mut Vec<u8>, fields: &[Field]) {
     out.push(fields.len() as u8);
     for (name, value) in fields {
         out.push(name.len() as u8);
@@ -148,7 +151,7 @@
 }
 
 /// An answer, or with `CHECKED` that to a health check: code, fields, body.
-pub fn answer(kind: u8, stream: u32, code: u8, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+pub fn answer(kind: u8, stream: u32, code: u8, fields: &[Field], body: &[u8]) -> Vec<u8> {
     let mut payload = Vec::with_capacity(body.len() + 64);
     payload.push(code);
     put_fields(&mut payload, fields);
