Ask for the end of replayed notices only once the kernel is up

Cause: kernel.rs asked for the sync mark right behind OPEN; before BOOTED the kernel answers EINVAL, so the link never counted as up and no SCHED was written. Now the mark is asked for behind each BOOTED.

--- a/server/src/kernel.rs
+++ b/server/src/kernel.rs
@@ -17,7 +17,8 @@
 const AGAIN: Duration = Duration::from_millis(50);
 /// A kernel that is up answers each question for the gauges: silent for this long, the link is made anew.
 const SILENT: Duration = Duration::from_secs(5);
-/// Asked for behind `OPEN`; its answer comes behind all notices that were missed.
+/// Asked for once the kernel is up (before, it would not be carried out); the answer comes behind all notices
+/// that were missed.
 const SYNC: &str = "sync";
 
 pub async fn link(address: SocketAddr, shared: Shared, queue: Sender<Note>) {
@@ -57,7 +58,6 @@
     async fn carry(&mut self, stream: &TcpStream) -> io::Result<()> {
         let out = Rc::new(Outbox::new(&self.shared.pool));
         out.push(lines::open(self.serial).as_bytes());
-        out.push(lines::sysinfo(SYNC).as_bytes());
         let mut buf = self.shared.pool.take();
         let (mut skips, mut up) = (false, false);
         let mut heard = Instant::now();
@@ -81,12 +81,15 @@
                 let told = if std::mem::take(&mut skips) { None } else { self.read(line)? };
                 at += size;
                 let Some(notice) = told else { continue };
+                if matches!(notice, Notice::Booted { .. }) {
+                    out.push(lines::sysinfo(SYNC).as_bytes());
+                    up = true;
+                }
                 let synced = matches!(&notice, Notice::Info { cookie, .. } if cookie == SYNC);
                 let _ = self.queue.send(Note::Kernel(notice)).await;
                 if synced && self.queue.send(Note::KernelUp(out.clone())).await.is_err() {
                     return Ok(());
                 }
-                up |= synced;
             }
             buf.consume(at);
             if buf.len() == SIZE {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -66,7 +66,7 @@
                 Some("retryable") => Effect::Idempotent,
                 Some("dedup") => Effect::Tokened,
                 Some("fragile") => Effect::NonIdempotent,
-                other => return Err(format!("effect is {other:?}")),
+                _ => return Err(format!("categories[{at}].effect is {}", row["effect"])),
             },
             billed: number(&row["worth"]),
             late: number(&row["late_worth"]),
--- a/wirehost/tests/wire.rs
+++ b/wirehost/tests/wire.rs
@@ -42,7 +42,11 @@
         ("NEEDS_DEP 3", "NEEDS_DAP 3", "line 11: unknown message \"NEEDS_DAP\""),
         ("CALL_DONE 3 c:one served", "CALL_DONE 3 c:one fine", "line 15: outcome is \"fine\""),
         ("core_use:0.5", "core_use", "line 12: gauge \"core_use\" has no value"),
-        ("\"effect\":\"retryable\"", "\"effect\":\"twice\"", "line 4: effect is"),
+        (
+            "\"effect\":\"retryable\"",
+            "\"effect\":\"twice\"",
+            "line 4: boot_info: categories[0].effect is \"twice\"",
+        ),
         ("\"categories\":[", "\"categories\":", "line 4: boot_info"),
     ];
     let ends = [
