--- /dev/null
+++ b/examples/src/lib.rs
@@ -0,0 +1,339 @@
+//! Stand-ins for all that an app server talks to, over loopback: kernel, ledger, roster and router. Written from
+//! the protocol alone, with blocking sockets, so that a test or a newcomer plays each party line by line. Whoever
+//! waits here waits for at most `PATIENCE`, then panics with what it waited for.
+
+use base64::{engine::general_purpose::STANDARD, Engine};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis())
+}
+
+/// One end of a connection.
+pub struct Link {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl Link {
+    pub fn new(stream: TcpStream) -> Link {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream.set_write_timeout(Some(PATIENCE)).expect("a time-out");
+        stream.set_nodelay(true).expect("no delay");
+        Link { stream, bytes: Vec::new() }
+    }
+    pub fn connect(address: SocketAddr) -> Link {
+        Link::new(TcpStream::connect(address).expect("a connection"))
+    }
+    pub fn send(&mut self, bytes: impl AsRef<[u8]>) {
+        self.stream.write_all(bytes.as_ref()).expect("to write");
+    }
+    /// Whether it could all be written before a short while was over.
+    pub fn try_send(&mut self, bytes: &[u8]) -> bool {
+        self.stream.set_write_timeout(Some(Duration::from_secs(2))).expect("a time-out");
+        self.stream.write_all(bytes).is_ok()
+    }
+    /// Reads some more; false at the end of input, reset or not.
+    fn more(&mut self) -> bool {
+        let mut part = [0; 4096];
+        match self.stream.read(&mut part) {
+            Ok(many) => {
+                self.bytes.extend(&part[..many]);
+                many > 0
+            }
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => false,
+            Err(error) => panic!("waited for more than {:?}: {error}", String::from_utf8_lossy(&self.bytes)),
+        }
+    }
+    pub fn exact(&mut self, many: usize) -> Vec<u8> {
+        while self.bytes.len() < many {
+            assert!(self.more(), "ended after {:?}", String::from_utf8_lossy(&self.bytes));
+        }
+        self.bytes.drain(..many).collect()
+    }
+    /// A line without its end; `None` where the connection ended instead.
+    pub fn line(&mut self) -> Option<String> {
+        loop {
+            if let Some(end) = self.bytes.iter().position(|byte| *byte == b'\n') {
+                let line: Vec<u8> = self.bytes.drain(..=end).collect();
+                return Some(String::from_utf8_lossy(&line).trim_end().to_string());
+            }
+            if !self.more() {
+                return None;
+            }
+        }
+    }
+    /// Whether the other side ended it, with nothing more to be read.
+    pub fn ended(&mut self) -> bool {
+        while self.more() {}
+        self.bytes.is_empty()
+    }
+    pub fn close(&mut self) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
+// ---- a router ----
+
+#[derive(Debug, PartialEq)]
+pub struct Frame {
+    pub kind: u8,
+    pub stream: u32,
+    pub payload: Vec<u8>,
+}
+
+pub struct Router(pub Link);
+
+pub fn frame(kind: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let mut out = (payload.len() as u32 + 5).to_be_bytes().to_vec();
+    out.push(kind);
+    out.extend(stream.to_be_bytes());
+    out.extend(payload);
+    out
+}
+
+/// A request that came to the machine now.
+pub fn request(stream: u32, txn: &str, operation: &str, body: &[u8]) -> Vec<u8> {
+    let door = unix_ms().to_string();
+    let fields = [
+        ("verb", operation),
+        ("txn", txn),
+        ("door", &door),
+        ("lb", "1"),
+        ("team", "acme"),
+        ("cpu", "20.5"),
+        ("ram", "24.5"),
+        ("standing", "0.5"),
+    ];
+    let mut payload = vec![fields.len() as u8];
+    for (name, value) in fields {
+        payload.push(name.len() as u8);
+        payload.extend(name.as_bytes());
+        payload.extend((value.len() as u16).to_be_bytes());
+        payload.extend(value.as_bytes());
+    }
+    payload.extend(body);
+    frame(2, stream, &payload)
+}
+
+impl Router {
+    pub fn connect(address: SocketAddr) -> Router {
+        Router(Link::connect(address))
+    }
+    pub fn frame(&mut self) -> Frame {
+        let head = self.0.exact(9);
+        let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+        let stream = u32::from_be_bytes([head[5], head[6], head[7], head[8]]);
+        Frame { kind: head[4], stream, payload: self.0.exact(length - 5) }
+    }
+    /// The next answer, as its stream, its code and the bytes behind its fields.
+    pub fn answer(&mut self) -> (u32, &'static str, Vec<u8>) {
+        let frame = self.frame();
+        assert_eq!(frame.kind, 4, "{frame:?}");
+        let code = match frame.payload[0] {
+            79 => "served",
+            66 => "refused",
+            69 => "failed",
+            code => panic!("code {code}"),
+        };
+        let mut at = 2;
+        for _ in 0..frame.payload[1] {
+            at += 1 + frame.payload[at] as usize;
+            at += 2 + u16::from_be_bytes([frame.payload[at], frame.payload[at + 1]]) as usize;
+        }
+        (frame.stream, code, frame.payload[at..].to_vec())
+    }
+}
+
+// ---- the kernel ----
+
+/// A link to the kernel, with the number of the last notice told on it.
+pub struct Kernel {
+    pub link: Link,
+    pub serial: u64,
+}
+
+impl Kernel {
+    /// Takes the next link and its `OPEN`; returns the serial told there too.
+    pub fn accept(listener: &TcpListener) -> (Kernel, u64) {
+        let mut link = Link::new(listener.accept().expect("a link").0);
+        let open: Value = serde_json::from_str(&link.line().expect("OPEN")).expect("JSON");
+        assert_eq!(open["msg"], "OPEN");
+        let serial = open["serial"].as_u64().expect("a serial");
+        (Kernel { link, serial }, serial)
+    }
+    pub fn say(&mut self, notice: Value) {
+        self.link.send(format!("{notice}\n"));
+    }
+    pub fn boot(&mut self, how: &str) {
+        self.say(json!({"msg": "BOOTED", "how": how, "duration": 0}));
+    }
+    /// A numbered notice.
+    pub fn tell(&mut self, msg: &str, call: &str, how: &str, body: &[u8]) {
+        self.serial += 1;
+        let blob = STANDARD.encode(body);
+        self.say(
+            json!({"msg": msg, "serial": self.serial, "call": call, "how": how, "duration": 5, "blob": blob}),
+        );
+    }
+    /// The next command as its name, its call and its body; gauges asked for before are told.
+    pub fn hear(&mut self) -> Option<(String, String, Vec<u8>)> {
+        loop {
+            let command: Value = serde_json::from_str(&self.link.line()?).expect("JSON");
+            let word = |key: &str| command[key].as_str().unwrap_or("").to_string();
+            if word("msg") != "SYSINFO" {
+                return Some((word("msg"), word("call"), STANDARD.decode(word("blob")).expect("base64")));
+            }
+            self.say(json!({"msg": "INFO", "cookie": word("cookie"), "stats": [0.5, 1, 0.1, 2]}));
+        }
+    }
+    pub fn expect(&mut self, msg: &str, call: &str) -> Vec<u8> {
+        let (heard, about, body) = self.hear().expect("a command");
+        assert_eq!((heard.as_str(), about.as_str()), (msg, call));
+        body
+    }
+}
+
+// ---- the ledger ----
+
+pub struct Ledger(pub Link);
+
+impl Ledger {
+    pub fn accept(listener: &TcpListener) -> Ledger {
+        Ledger(Link::new(listener.accept().expect("a connection").0))
+    }
+    /// The next command: the words of its line, and for `post` the body.
+    pub fn hear(&mut self) -> Option<(Vec<String>, Vec<u8>)> {
+        let words: Vec<String> = self.0.line()?.split(' ').map(str::to_string).collect();
+        let mut body = Vec::new();
+        if words[0] == "post" {
+            body = self.0.exact(words[3].parse::<usize>().expect("a length") + 2);
+            assert_eq!(body.split_off(body.len() - 2), b"\r\n");
+        }
+        Some((words, body))
+    }
+    pub fn posted(&mut self, call: &str, reply: &[u8]) {
+        let mut out = format!("{call} posted {}\r\n", reply.len()).into_bytes();
+        out.extend(reply);
+        out.extend(b"\r\n");
+        self.0.send(out);
+    }
+}
+
+// ---- the roster ----
+
+/// Takes one report, answers it with `status`; returns its path and body.
+pub fn report(link: &mut Link, status: &str) -> Option<(String, String)> {
+    let first = link.line()?;
+    let mut length = 0;
+    loop {
+        let line = link.line()?;
+        if line.is_empty() {
+            break;
+        }
+        if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+            length = value.trim().parse().expect("a length");
+        }
+    }
+    let body = String::from_utf8(link.exact(length)).expect("text");
+    link.send(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n"));
+    Some((first, body))
+}
+
+// ---- the app server ----
+
+/// The listeners of all parties, and one app server started between them.
+pub struct Place {
+    pub kernel: TcpListener,
+    pub ledger: TcpListener,
+    pub roster: TcpListener,
+    pub server: SocketAddr,
+    process: Child,
+    log: Receiver<String>,
+    config: PathBuf,
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port of loopback")
+}
+
+impl Place {
+    /// Starts `program` with the configuration `config`, changed by `change`, and addresses of its own.
+    pub fn start(program: &Path, config: &str, change: impl FnOnce(&mut Value)) -> Place {
+        let (kernel, ledger, roster) = (listener(), listener(), listener());
+        let address = |listener: &TcpListener| json!(listener.local_addr().expect("an address").to_string());
+        let mut all: Value = serde_json::from_str(config).expect("JSON");
+        all["listen"] = json!("127.0.0.1:0");
+        all["kernel"] = address(&kernel);
+        all["ledger"] = address(&ledger);
+        all["roster"] = address(&roster);
+        change(&mut all);
+        let port = kernel.local_addr().expect("an address").port();
+        let config = std::env::temp_dir().join(format!("cypresscleat-{}-{port}.json", std::process::id()));
+        std::fs::write(&config, all.to_string()).expect("to write the configuration");
+        let mut process = Command::new(program)
+            .env("EDGE_CONFIG", &config)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{}: {error}", program.display()));
+        let (tell, log) = channel();
+        let stderr = process.stderr.take().expect("its log");
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                let _ = tell.send(line);
+            }
+        });
+        let server = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut place = Place { kernel, ledger, roster, server, process, log, config };
+        let line = place.logged("listens on ");
+        let address = line.rsplit(' ').next().expect("an address");
+        place.server = address.parse().expect("an address");
+        place
+    }
+    /// The next log line with these words.
+    pub fn logged(&self, words: &str) -> String {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("no line with {words:?}"));
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+    pub fn signal(&self, name: &str) {
+        let id = self.process.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "to send {name}");
+    }
+    /// Its end, by itself.
+    pub fn exit(&mut self) -> ExitStatus {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(status) = self.process.try_wait().expect("its state") {
+                return status;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("it goes on");
+    }
+    pub fn runs(&mut self) -> bool {
+        self.process.try_wait().expect("its state").is_none()
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
--- a/server/src/core.rs
+++ b/server/src/core.rs
@@ -64,7 +64,10 @@
     pub feedback: Cell<Option<f64>>,
     /// Connections idle for longer are to be closed.
     pub idle: Cell<Option<Time>>,
+    /// What the roster is told.
     pub on: Cell<bool>,
+    /// The grace of a drain is over: connections without an open request are to go.
+    pub closing: Cell<bool>,
 }
 
 impl Voice {
@@ -199,6 +202,8 @@
 pub struct Core {
     brain: Option<Brain>,
     settings: Settings,
+    /// When a drain's grace is over.
+    closes_at: Time,
     side: Side,
 }
 
@@ -221,6 +226,7 @@
                 feedback: Cell::new(None),
                 idle: Cell::new(None),
                 on: Cell::new(true),
+                closing: Cell::new(false),
             }),
             ledger: Rc::default(),
         }
@@ -249,13 +255,17 @@
             now: 0,
             wake_at: Time::MAX,
         };
-        Core { brain: None, settings, side }
+        Core { brain: None, settings, closes_at: Time::MAX, side }
     }
 
     /// When `tick` is due.
     pub fn wake_at(&self) -> Time {
         self.side.wake_at
     }
+    /// Nothing is run any more, and nobody waits.
+    pub fn is_done(&self) -> bool {
+        self.side.voice.closing.get() && self.side.owed == 0
+    }
     /// Answers that are owed.
     pub fn owed(&self) -> usize {
         self.side.owed
@@ -288,6 +298,7 @@
             }
             Note::Leave { within } => {
                 self.side.voice.on.set(false);
+                self.closes_at = now + self.settings.drain_grace;
                 self.module(|brain, now, side| brain.leaving(now, within, side));
             }
         }
@@ -310,6 +321,7 @@
             }
         }
         self.side.answered.retain(|answered| answered.until > now);
+        self.side.voice.closing.set(now >= self.closes_at);
         let fresh = now - self.side.gauges_at <= GAUGES_AGE;
         let gauges = if fresh { self.side.gauges } else { Gauges::default() };
         self.module(|brain, now, side| brain.tick(now, gauges, side));
--- a/server/src/front.rs
+++ b/server/src/front.rs
@@ -93,7 +93,8 @@
     pub async fn sweep(self: Rc<Front>) {
         loop {
             tokio::time::sleep(SWEEP).await;
-            let (now, most) = (self.clock.now(), self.shared.voice.idle.get());
+            let now = self.clock.now();
+            let most = if self.shared.voice.closing.get() { Some(0) } else { self.shared.voice.idle.get() };
             for conn in self.conns.borrow().iter() {
                 let peer = &conn.peer;
                 let before = conn.written.get();
--- a/server/src/main.rs
+++ b/server/src/main.rs
@@ -1,5 +1,6 @@
 //! Wires the tasks of one app server together, and its signals.
 
+use cypresscleat::api::Time;
 use cypresscleat_server::clock::{unix, Clock};
 use cypresscleat_server::config::{self, Config};
 use cypresscleat_server::core::{Core, Note, Shared};
@@ -7,6 +8,8 @@
 use cypresscleat_server::{kernel, ledger, log, pool, roster};
 use std::io;
 use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::{channel, Receiver};
@@ -19,6 +22,9 @@
 /// The part of the memory that buffers may take.
 const BUFFERS: u64 = 4;
 const BACKLOG: u32 = 1024;
+const BEHIND_STOP: Duration = Duration::from_secs(1);
+/// The core looks up at least this often, in tenths of a millisecond.
+const LOOK: Time = 10_000;
 
 fn main() -> ExitCode {
     let config = match config::read() {
@@ -51,12 +57,12 @@
     let mut usr1 = signal(SignalKind::user_defined1())?;
     let listener = listen(&config)
         .map_err(|error| io::Error::new(error.kind(), format!("listen {}: {error}", config.listen)))?;
-    log!("{} listens on {}", config.name, config.listen);
+    log!("{} listens on {}", config.name, listener.local_addr()?);
     let shared = Shared::new((config.memory_mb << 20) as usize / BUFFERS as usize / pool::SIZE);
     let (queue, notes) = channel(QUEUE);
     let clock = Clock::start();
     let front = Front::new(&shared, queue.clone(), clock, config.sockets - KEPT_BACK);
-    spawn_local(front.clone().accept(listener));
+    let accepting = spawn_local(front.clone().accept(listener));
     spawn_local(front.clone().sweep());
     spawn_local(kernel::link(config.kernel, shared.clone(), queue.clone()));
     spawn_local(ledger::link(config.ledger, shared.clone(), queue.clone()));
@@ -64,25 +70,27 @@
         spawn_local(roster::report(address, config.name.clone(), shared.clone()));
     }
     let core = Core::new(config.settings, config.names, &shared);
-    let core = spawn_local(run(core, notes, clock));
+    let core = spawn_local(run(core, notes, clock, front));
     loop {
         tokio::select! {
             _ = usr1.recv() => log!("{}", shared.counters.line()),
-            _ = term.recv() => {
-                let _ = queue.send(Note::Leave { within: config.stop }).await;
-                break;
-            }
+            _ = term.recv() => break,
         }
     }
-    let _ = tokio::time::timeout(std::time::Duration::from_millis(config.stop as u64 / 10), core).await;
+    let _ = queue.send(Note::Leave { within: config.stop }).await;
+    // Stopped from outside by then, or later by itself: to go just before could lose what is being written.
+    let stop = Duration::from_millis(config.stop as u64 / 10) + BEHIND_STOP;
+    if tokio::time::timeout(stop, core).await.is_ok() {
+        accepting.abort();
+    }
     log!("stopped: {}", shared.counters.line());
     Ok(())
 }
 
-/// The one task that owns the module: its timer first, then the queue.
-async fn run(mut core: Core, mut notes: Receiver<Note>, clock: Clock) {
-    loop {
-        let due = clock.instant(core.wake_at().min(clock.now() + 10_000));
+/// The one task that owns the module: its timer first, then the queue. Ends once a drain is done.
+async fn run(mut core: Core, mut notes: Receiver<Note>, clock: Clock, front: Rc<Front>) {
+    while !(core.is_done() && front.connections() == 0) {
+        let due = clock.instant(core.wake_at().min(clock.now() + LOOK));
         tokio::select! {
             biased;
             () = tokio::time::sleep_until(due.into()) => {}
--- /dev/null
+++ b/server/tests/core.rs
@@ -0,0 +1,227 @@
+//! Plays every file of tests/core through the core: no socket, no clock. Notation, times in milliseconds:
+//!   TIME kernel JSON                  a notice of the kernel
+//!   TIME link | unlink                a link to the kernel is up with all missed notices told | is gone
+//!   TIME NAME sends STREAM TXN [FIELD=VALUE ...]   a request on the connection NAME, of type 2; its body is "ask"
+//!   TIME NAME leaves STREAM           nobody waits for the stream any more
+//!   TIME NAME closes                  the connection is gone
+//!   TIME NAME told                    it was told to send no new request
+//!   TIME ledger TXN OUTCOME           the newest call for that one ended so (outcomes as on the ledger's wire, or
+//!                                     `unreached`, `broken`; the reply of `posted` is "reply")
+//!   TIME term MS                      notice to leave
+//!   TIME pass                         only time passes; ticks come by themselves
+//!   expect WORDS | refuse WORDS       among what was written since the event before, by its first words
+//!   owed N                            answers that are owed now
+//! What is written: `kernel MSG TXN [BODY]`, `NAME STREAM served|refused|failed [BODY]`, `ledger post TXN MS BODY`,
+//! `ledger abandon TXN [late]`. A txn stands without its leading zeros.
+
+use cypresscleat::api::{Outcome, Time};
+use cypresscleat_server::config;
+use cypresscleat_server::core::{Command, Core, Note, Peer, Shared};
+use cypresscleat_server::frames::{self, Next, Txn};
+use cypresscleat_server::lines;
+use cypresscleat_server::pool::{Buf, Outbox, SIZE};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+const UNIX: Time = 17_645_760_000_000;
+
+struct Play {
+    core: Core,
+    shared: Shared,
+    kernel: Rc<Outbox>,
+    peers: BTreeMap<String, Rc<Peer>>,
+    numbers: BTreeMap<Txn, u64>,
+    seen: Vec<String>,
+    now: Time,
+}
+
+fn txn(word: &str) -> Txn {
+    format!("{word:0>16}").into_bytes().try_into().expect("a txn of 16 digits at most")
+}
+
+fn short(txn: &[u8]) -> String {
+    String::from_utf8_lossy(txn).trim_start_matches('0').to_string()
+}
+
+fn drain(out: &Outbox) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let written = out.flush(|part| {
+        bytes.extend(part);
+        Ok(part.len())
+    });
+    written.expect("a vector takes all");
+    bytes
+}
+
+impl Play {
+    fn start() -> Play {
+        let config =
+            config::parse(include_str!("../../examples/config.json"), None, None).expect("the example");
+        let shared = Shared::new(1000);
+        let core = Core::new(config.settings, config.names, &shared);
+        let kernel = Rc::new(Outbox::new(&shared.pool));
+        let (peers, numbers, seen) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+        Play { core, shared, kernel, peers, numbers, seen, now: 0 }
+    }
+
+    fn buf(&self, bytes: &[u8]) -> Buf {
+        let mut buf = self.shared.pool.take();
+        assert_eq!(buf.push(bytes), bytes.len());
+        buf
+    }
+
+    fn take(&mut self, note: Note) {
+        self.core.take(self.now, UNIX + self.now, note);
+    }
+
+    fn event(&mut self, words: &[&str], line: &str) {
+        match *words {
+            ["pass"] => {}
+            ["link"] => {
+                self.kernel = Rc::new(Outbox::new(&self.shared.pool));
+                self.take(Note::KernelUp(self.kernel.clone()));
+            }
+            ["unlink"] => {
+                drain(&self.kernel);
+                self.take(Note::KernelDown);
+            }
+            ["term", ms] => {
+                let within = ms.parse::<Time>().expect("milliseconds") * 10;
+                self.take(Note::Leave { within });
+            }
+            ["kernel", ..] => {
+                let json = line.split_once(" kernel ").expect("a notice").1;
+                let (_, notice) = lines::notice(json.as_bytes(), &self.shared.pool);
+                self.take(Note::Kernel(notice.expect("a notice that can be read")));
+            }
+            ["ledger", call, how] => {
+                let (txn, reply) = (txn(call), (how == "posted").then(|| self.buf(b"reply")));
+                let how = match how {
+                    "unreached" => Outcome::NoConnection,
+                    "broken" => Outcome::ConnectionLost,
+                    "posted" => Outcome::Succeeded,
+                    word => match lines::reply(format!("{call} {word}\r\n").as_bytes(), SIZE) {
+                        lines::NextReply::Reply(reply, _) => reply.how,
+                        other => panic!("{other:?}"),
+                    },
+                };
+                let number = self.numbers[&txn];
+                self.take(Note::Called { txn, number, how, reply });
+            }
+            [name, "sends", stream, call, ref rest @ ..] => {
+                let door = ((UNIX + self.now) / 10).to_string();
+                let txn = String::from_utf8(txn(call).to_vec()).expect("text");
+                let mut fields =
+                    BTreeMap::from([("verb", "lookup"), ("door", &door), ("cpu", "20"), ("ram", "30")]);
+                fields.extend([("txn", txn.as_str()), ("team", "acme"), ("standing", "0.5"), ("lb", "1")]);
+                fields.extend(rest.iter().map(|pair| pair.split_once('=').expect("FIELD=VALUE")));
+                fields.retain(|_, value| !value.is_empty());
+                let fields: Vec<_> = fields.into_iter().collect();
+                let mut payload = Vec::new();
+                frames::put_fields(&mut payload, &fields);
+                payload.extend(b"ask");
+                let new = || Rc::new(Peer::new(&self.shared.pool, 0));
+                let peer = self.peers.entry(name.to_string()).or_insert_with(new).clone();
+                peer.queued.set(peer.queued.get() + 1);
+                let (stream, payload) = (stream.parse().expect("a stream"), self.buf(&payload));
+                self.take(Note::Request { peer, stream, payload });
+            }
+            [name, "leaves", stream] => {
+                let (peer, stream) = (self.peers[name].clone(), stream.parse().expect("a stream"));
+                self.take(Note::Left { peer, stream });
+            }
+            [name, "closes"] => {
+                let peer = self.peers[name].clone();
+                peer.gone.set(true);
+                self.take(Note::Closed { peer });
+            }
+            [name, "told"] => self.peers[name].told.set(Some(self.now)),
+            _ => panic!("what is this: {line}"),
+        }
+    }
+
+    /// All that was written, as lines.
+    fn look(&mut self) {
+        for line in String::from_utf8(drain(&self.kernel)).expect("text").lines() {
+            let json: serde_json::Value = serde_json::from_str(line).expect("JSON");
+            let word = |key: &str| json[key].as_str().unwrap_or("").to_string();
+            if word("msg") != "SYSINFO" {
+                use base64::Engine;
+                let blob = base64::engine::general_purpose::STANDARD.decode(word("blob")).expect("base64");
+                let (call, blob) = (short(word("call").as_bytes()), String::from_utf8(blob).expect("text"));
+                self.seen.push(format!("kernel {} {call} {blob}", word("msg")));
+            }
+        }
+        for (name, peer) in &self.peers {
+            let bytes = drain(&peer.out);
+            let mut rest = &bytes[..];
+            while let Next::Frame { kind: frames::ANSWER, stream, payload, size } = frames::next(rest, SIZE) {
+                let code = match payload[0] {
+                    frames::SERVED => "served",
+                    frames::REFUSED => "refused",
+                    _ => "failed",
+                };
+                let (_, body) = frames::fields(&payload[1..]).expect("fields");
+                self.seen.push(format!("{name} {stream} {code} {}", String::from_utf8_lossy(body)));
+                rest = &rest[size..];
+            }
+            assert!(rest.is_empty());
+        }
+        for command in self.shared.ledger.queue.borrow_mut().drain(..) {
+            self.seen.push(match command {
+                Command::Post { txn, number, text } => {
+                    self.numbers.insert(txn, number);
+                    let text = String::from_utf8_lossy(&text).replace("\r\n", " ");
+                    let words: Vec<&str> = text.split(' ').collect();
+                    format!("ledger post {} {} {}", short(&txn), words[2], words[4])
+                }
+                Command::Abandon { txn, late } => {
+                    format!("ledger abandon {}{}", short(&txn), if late { " late" } else { "" })
+                }
+            });
+        }
+    }
+
+    fn line(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let found = |seen: &[String]| {
+            seen.iter().any(|seen| seen.split(' ').take(words.len() - 1).eq(words[1..].iter().copied()))
+        };
+        match words[0] {
+            "expect" => assert!(found(&self.seen), "{line}: {:?}", self.seen),
+            "refuse" => assert!(!found(&self.seen), "{line}: {:?}", self.seen),
+            "owed" => assert_eq!(self.core.owed().to_string(), words[1], "{line}"),
+            time => {
+                let until = time.parse::<Time>().expect("a time") * 10;
+                self.seen.clear();
+                while self.core.wake_at() <= until {
+                    self.now = self.core.wake_at();
+                    self.core.tick(self.now);
+                }
+                self.now = until;
+                self.event(&words[1..], line);
+                self.look();
+            }
+        }
+    }
+}
+
+#[test]
+fn every_scenario_of_the_core() {
+    let mut files: Vec<_> = std::fs::read_dir("tests/core").expect("tests/core").collect();
+    files.sort_by_key(|file| file.as_ref().map(|file| file.path()).ok());
+    for file in &files {
+        let path = file.as_ref().expect("a file").path();
+        println!("{}", path.display());
+        let mut play = Play::start();
+        let text = std::fs::read_to_string(&path).expect("a scenario");
+        let lines = text.lines().filter(|line| !line.trim().is_empty() && !line.starts_with('#'));
+        lines.for_each(|line| play.line(line));
+        drop(play.core);
+        play.peers.clear();
+        play.shared.ledger.queue.borrow_mut().clear();
+        drain(&play.kernel);
+        assert_eq!(play.shared.pool.out(), 0, "every buffer is given back");
+    }
+    assert!(files.len() > 5);
+}
--- /dev/null
+++ b/server/tests/sockets.rs
@@ -0,0 +1,273 @@
+//! The program itself over loopback, between the stand-ins of `examples`: whole paths, links that break, hostile
+//! peers, limits, drain. Nothing here waits for luck: each party speaks when it has heard what it waited for.
+
+use cypresscleat_examples::{frame, report, request, Kernel, Ledger, Link, Place, Router};
+use serde_json::{json, Value};
+use std::path::Path;
+use std::process::Command;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_cypresscleat-server");
+const CONFIG: &str = include_str!("../../examples/config.json");
+const ONE: &str = "00000000000000a1";
+const TWO: &str = "00000000000000b2";
+
+fn place(change: impl FnOnce(&mut Value)) -> Place {
+    Place::start(Path::new(PROGRAM), CONFIG, change)
+}
+
+/// A place whose kernel is up.
+fn up(change: impl FnOnce(&mut Value)) -> (Place, Kernel) {
+    let place = place(change);
+    let (mut kernel, serial) = Kernel::accept(&place.kernel);
+    assert_eq!(serial, 0);
+    kernel.boot("WARM");
+    place.logged("kernel up");
+    (place, kernel)
+}
+
+/// Sends one request and lets it run to its end.
+fn served(router: &mut Router, kernel: &mut Kernel, stream: u32, txn: &str) {
+    router.0.send(request(stream, txn, "lookup", b"ask"));
+    assert_eq!(kernel.expect("SCHED", txn), b"ask");
+    kernel.tell("REAP", txn, "OK", b"result");
+    assert_eq!(router.answer(), (stream, "served", b"result".to_vec()));
+}
+
+#[test]
+fn a_request_runs_calls_and_is_answered() {
+    let (place, mut kernel) = up(|_| {});
+    let mut roster = Link::new(place.roster.accept().expect("a report").0);
+    let (path, body) = report(&mut roster, "204 No Content").expect("a report");
+    assert_eq!((path.as_str(), body.as_str()), ("PUT /roster/toy HTTP/1.1", "{\"duty\":\"on\"}"));
+
+    let mut router = Router::connect(place.server);
+    let mut bytes = request(1, ONE, "report", &[7; 2048]);
+    bytes.extend(request(2, TWO, "lookup", b""));
+    bytes.extend(frame(16, 9, &[0]));
+    for part in bytes.chunks(501) {
+        router.0.send(part); // frames come in parts, and several at once
+    }
+    let check = router.frame();
+    assert_eq!((check.kind, check.stream, check.payload[0]), (32, 9, 79));
+    assert_eq!(kernel.expect("SCHED", ONE), vec![7; 2048]);
+    kernel.expect("SCHED", TWO);
+    kernel.tell("IOREQ", ONE, "", b"put");
+    let mut ledger = Ledger::accept(&place.ledger);
+    let (words, body) = ledger.hear().expect("a call");
+    assert_eq!((&words[..2], &body[..]), (&["post".to_string(), ONE.to_string()][..], &b"put"[..]));
+    kernel.tell("REAP", TWO, "OK", b"second");
+    assert_eq!(router.answer(), (2, "served", b"second".to_vec()), "answers come in any order");
+    ledger.posted(ONE, &[1; 4096]);
+    assert_eq!(kernel.expect("IODONE", ONE), vec![1; 4096]);
+    kernel.tell("REAP", ONE, "OK", &[9; 4096]);
+    assert_eq!(router.answer(), (1, "served", vec![9; 4096]));
+    place.signal("USR1");
+    let counters = place.logged("connections 1,");
+    assert!(counters.contains("invocations 2, ") && counters.contains("succeeded 2, "), "{counters}");
+}
+
+/// Guards the start of a cold server: before it is up the kernel carries out no question for the gauges.
+#[test]
+fn a_kernel_that_comes_up_late_is_asked_only_then() {
+    let place = place(|_| {});
+    let (mut kernel, _) = Kernel::accept(&place.kernel);
+    let mut router = Router::connect(place.server);
+    router.0.send(frame(16, 1, &[0]));
+    assert_eq!(router.frame().kind, 32, "checks are answered before");
+    kernel.boot("COLD");
+    assert!(place.logged("kernel up").ends_with("cold"));
+    let first = kernel.link.line().expect("a command");
+    assert!(first.contains("SYSINFO"), "{first}");
+    kernel.say(json!({"msg": "INFO", "cookie": "sync", "stats": [0, 0, 0, 0]}));
+    served(&mut router, &mut kernel, 1, ONE);
+}
+
+#[test]
+fn a_broken_link_to_the_kernel_loses_nothing() {
+    let (place, mut kernel) = up(|_| {});
+    let mut router = Router::connect(place.server);
+    router.0.send(request(1, ONE, "lookup", b"ask"));
+    kernel.expect("SCHED", ONE);
+    kernel.tell("DMESG", "", "a remark", b"");
+    served(&mut router, &mut kernel, 2, TWO);
+    kernel.link.close();
+    let (mut again, serial) = Kernel::accept(&place.kernel);
+    assert_eq!(serial, 2, "it names the last notice it read");
+    again.boot("WARM");
+    again.tell("REAP", ONE, "OK", b"meanwhile");
+    assert_eq!(router.answer(), (1, "served", b"meanwhile".to_vec()));
+    // A gap in the numbers: notices were lost, the link is made anew to get them.
+    again.serial += 1;
+    again.tell("DMESG", "", "too far", b"");
+    let (mut third, serial) = Kernel::accept(&place.kernel);
+    assert_eq!(serial, 3);
+    third.boot("WARM");
+    // Nonsense and repeated numbers say nothing; the link lives on.
+    third.link.send("not JSON\n{\"msg\":\"WHAT\"}\n[]\n{\"msg\":\"REAP\",\"serial\":4,\"call\":7}\n");
+    third.link.send(vec![b'x'; 9000]);
+    third.link.send("\n");
+    third.serial = 3;
+    third.tell("REAP", ONE, "ERROR", b"");
+    served(&mut router, &mut third, 3, "00000000000000c3");
+}
+
+#[test]
+fn calls_end_as_the_ledger_says_and_nonsense_ends_only_its_connection() {
+    let (place, mut kernel) = up(|_| {});
+    let mut router = Router::connect(place.server);
+    let mut ask = |kernel: &mut Kernel, stream, txn| {
+        router.0.send(request(stream, txn, "report", b"ask"));
+        kernel.expect("SCHED", txn);
+        kernel.tell("IOREQ", txn, "", b"put");
+    };
+    ask(&mut kernel, 1, ONE);
+    let mut ledger = Ledger::accept(&place.ledger);
+    assert_eq!(ledger.hear().expect("a call").0[1], ONE);
+    // Turned away: it never ran, so it may be made again.
+    ledger.0.send(format!("what is this\r\n{ONE} queue_full\r\n"));
+    assert_eq!(ledger.hear().expect("a second call").0[1], ONE);
+    // A reply of no length: where the next one begins is not known any more, and the call may have run.
+    ledger.0.send(format!("{ONE} posted many\r\n"));
+    assert!(ledger.0.ended());
+    kernel.tell("REAP", ONE, "STOPPED", b"");
+    // The next call gets a connection of its own.
+    ask(&mut kernel, 2, TWO);
+    let mut ledger = Ledger::accept(&place.ledger);
+    assert_eq!(ledger.hear().expect("a call").0[1], TWO);
+    // The end of its run gives up its call.
+    kernel.tell("REAP", TWO, "OK", b"without it");
+    assert_eq!(ledger.hear().expect("a word").0, ["abandon", TWO]);
+    assert_eq!(router.answer(), (1, "failed", Vec::new()));
+    assert_eq!(router.answer(), (2, "served", b"without it".to_vec()));
+}
+
+#[test]
+fn hostile_peers_get_plain_answers_and_disturb_nobody() {
+    let (mut place, mut kernel) = up(|_| {});
+    let mut good = Router::connect(place.server);
+    let mut bad = Router::connect(place.server);
+    bad.0.send(frame(3, 5, b"what"));
+    assert_eq!(bad.answer(), (0, "failed", Vec::new()), "an unknown type");
+    bad.0.send(request(0, ONE, "lookup", b""));
+    assert_eq!(bad.answer(), (0, "failed", Vec::new()), "stream 0 is no request's");
+    bad.0.send(frame(2, 5, &[3, 4, b'v']));
+    assert_eq!(bad.answer(), (5, "failed", Vec::new()), "fields that end too soon");
+    bad.0.send(request(6, ONE, "lookup", &[0; 2049]));
+    assert_eq!(bad.answer(), (6, "failed", Vec::new()), "a body over its limit");
+    bad.0.send(request(7, ONE, "lookup", &[0; 100_000]));
+    assert_eq!(bad.answer(), (7, "failed", Vec::new()), "a frame that no buffer holds is passed over");
+    served(&mut bad, &mut kernel, 8, ONE);
+    bad.0.send(request(9, TWO, "lookup", b""));
+    kernel.expect("SCHED", TWO);
+    bad.0.send(300_000u32.to_be_bytes());
+    assert_eq!(bad.answer(), (0, "failed", Vec::new()), "a length out of bounds");
+    served(&mut good, &mut kernel, 1, "00000000000000c3");
+    kernel.tell("REAP", TWO, "OK", b"still");
+    assert_eq!(bad.answer(), (9, "served", b"still".to_vec()), "what was open is answered before the end");
+    assert!(bad.0.ended());
+
+    // More streams than may be open on one connection.
+    for stream in 10..43 {
+        good.0.send(request(stream, &format!("{stream:016x}"), "lookup", b""));
+    }
+    let many = std::iter::from_fn(|| Some(good.answer())).find(|(stream, ..)| *stream == 42);
+    assert_eq!(many, Some((42, "failed", Vec::new())));
+
+    // Connections that end in the middle of a frame, with requests open.
+    for cut in [3, 8, 20] {
+        let mut torn = Router::connect(place.server);
+        torn.0.send(request(1, &format!("{cut:016x}"), "lookup", b""));
+        torn.0.send(&request(2, TWO, "lookup", b"")[..cut]);
+        torn.0.close();
+    }
+    let mut after = Router::connect(place.server);
+    after.0.send(frame(16, 1, &[0]));
+    assert_eq!(after.frame().kind, 32);
+    assert!(place.runs());
+}
+
+#[test]
+fn a_storm_of_connections_makes_room_and_leaves_open_requests_alone() {
+    let (place, mut kernel) = up(|all| all["limits"]["sockets"] = json!(64));
+    let mut busy = Router::connect(place.server);
+    busy.0.send(request(1, ONE, "lookup", b"ask"));
+    kernel.expect("SCHED", ONE);
+    let mut idle: Vec<Link> = (0..100).map(|_| Link::connect(place.server)).collect();
+    let mut last = Router::connect(place.server);
+    last.0.send(frame(16, 1, &[0]));
+    assert_eq!(last.frame().kind, 32, "the newest gets in");
+    assert_eq!(idle[0].exact(9)[4], 64, "the one idle for longest is told to go");
+    assert!(idle[0].ended());
+    kernel.tell("REAP", ONE, "OK", b"result");
+    assert_eq!(busy.answer(), (1, "served", b"result".to_vec()));
+}
+
+#[test]
+fn a_peer_that_never_reads_delays_nobody() {
+    let (place, mut kernel) = up(|_| {});
+    let mut deaf = Router::connect(place.server);
+    let check = frame(16, 1, &[0]);
+    let checks: Vec<u8> = check.iter().copied().cycle().take(check.len() * 5000).collect();
+    // Far more than its outbox and the sockets between may hold: reading from it stops, and only from it.
+    let sender = std::thread::spawn(move || {
+        for _ in 0..400 {
+            if !deaf.0.try_send(&checks) {
+                return;
+            }
+        }
+        panic!("all of it was taken");
+    });
+    let mut router = Router::connect(place.server);
+    for stream in 1..50 {
+        served(&mut router, &mut kernel, stream, &format!("{stream:016x}"));
+    }
+    sender.join().expect("it was held up");
+}
+
+#[test]
+fn after_the_notice_all_is_answered_and_it_ends_by_itself() {
+    let (mut place, mut kernel) = up(|all| all["stop_ms"] = json!(60_000));
+    let mut router = Router::connect(place.server);
+    router.0.send(request(1, ONE, "lookup", b"ask"));
+    kernel.expect("SCHED", ONE);
+    place.signal("TERM");
+    place.logged("draining");
+    let mut roster = Link::new(place.roster.accept().expect("a report").0);
+    while !report(&mut roster, "204 No Content").expect("a report").1.contains("off") {}
+    router.0.send(frame(16, 2, &[0]));
+    assert_eq!(router.frame().payload[0], 69, "checks tell of it");
+    // It goes on for as long as an answer is owed, far past the grace; then it closes what idles, and ends.
+    kernel.tell("REAP", ONE, "OK", b"result");
+    assert_eq!(router.answer(), (1, "served", b"result".to_vec()));
+    assert_eq!(router.frame().kind, 64);
+    router.0.close();
+    assert!(place.exit().success());
+}
+
+#[test]
+fn a_faulty_configuration_ends_the_start_and_names_the_key() {
+    let cases: [(&str, Value, &str); 9] = [
+        ("/kernel", Value::Null, "kernel is missing"),
+        ("/listen", json!("nowhere"), "listen: \"nowhere\""),
+        ("/stop_ms", json!(-3), "stop_ms: expected a whole number"),
+        ("/limits/sockets", json!("many"), "limits.sockets"),
+        ("/seed", json!("xyz"), "seed: \"xyz\""),
+        ("/settings/specifics/cores", json!(0), "settings.specifics.cores"),
+        ("/settings/specifics/halt", json!("freeze"), "settings.specifics.halt"),
+        ("/settings/categories/0/effect", json!("dedup"), "settings.categories[0].effect"),
+        ("/settings/specifics/degraded_worth/1", json!(0.5), "settings.specifics.degraded_worth[1]"),
+    ];
+    let path = std::env::temp_dir().join(format!("cypresscleat-faulty-{}.json", std::process::id()));
+    for (pointer, value, wanted) in cases {
+        let mut all: Value = serde_json::from_str(CONFIG).expect("JSON");
+        *all.pointer_mut(pointer).expect(pointer) = value;
+        std::fs::write(&path, all.to_string()).expect("to write");
+        let ended = Command::new(PROGRAM).env("EDGE_CONFIG", &path).env_remove("EDGE_LISTEN").output();
+        let ended = ended.expect("to start");
+        let said = String::from_utf8_lossy(&ended.stderr);
+        assert!(ended.status.code() == Some(2) && said.contains(wanted), "{pointer}: {said}");
+    }
+    let _ = std::fs::remove_file(&path);
+    let ended = Command::new(PROGRAM).env_remove("EDGE_CONFIG").output().expect("to start");
+    assert!(String::from_utf8_lossy(&ended.stderr).contains("EDGE_CONFIG is not set"));
+}
