--- a/server/src/config.rs
+++ b/server/src/config.rs
@@ -77,8 +77,8 @@
         roster: address("roster", text("roster")?)?,
         ledger: address("ledger", text("ledger")?)?,
         stop: (whole("stop_ms", &all["stop_ms"], STOP_MS, 1)? * 10) as Time,
-        memory_mb: whole("limits.memory_mb", &all["limits"]["memory_mb"], MEMORY_MB, 16)?,
-        sockets: whole("limits.sockets", &all["limits"]["sockets"], SOCKETS, 64)? as usize,
+        memory_mb: whole("limits.memory_mb", &all["limits"]["memory_mb"], MEMORY_MB, 8)?,
+        sockets: whole("limits.sockets", &all["limits"]["sockets"], SOCKETS, 40)? as usize,
         settings,
         names,
     })
--- a/server/src/core.rs
+++ b/server/src/core.rs
@@ -18,7 +18,9 @@
 
 /// Requests a connection may have open.
 const STREAMS: usize = 32;
-/// Gauges older than this say nothing.
+/// The module's timer waits this long for the gauges asked for when it came due, and then goes on with the last
+/// ones, or, where these are older than that, without.
+const GAUGES_WAIT: Time = 3 * MS;
 const GAUGES_AGE: Time = 200 * MS;
 /// A call is given up from here when its reply is this late: the ledger tells of its end by itself.
 const CALL_MARGIN: Time = 50 * MS;
@@ -196,7 +198,9 @@
     gauges: Gauges,
     gauges_at: Time,
     now: Time,
+    /// When the module's timer is due, and when it goes on at the latest once the gauges were asked for.
     wake_at: Time,
+    waits_until: Option<Time>,
 }
 
 pub struct Core {
@@ -254,13 +258,14 @@
             gauges_at: Time::MIN / 2,
             now: 0,
             wake_at: Time::MAX,
+            waits_until: None,
         };
         Core { brain: None, settings, closes_at: Time::MAX, side }
     }
 
     /// When `tick` is due.
     pub fn wake_at(&self) -> Time {
-        self.side.wake_at
+        self.side.waits_until.unwrap_or(self.side.wake_at)
     }
     /// Nothing is run any more, and nobody waits.
     pub fn is_done(&self) -> bool {
@@ -304,13 +309,23 @@
         }
     }
 
-    /// The module's timer.
+    /// The module's timer is due: first the gauges are asked for, then it goes on with them or without.
     pub fn tick(&mut self, now: Time) {
         self.side.now = now;
+        if self.side.waits_until.is_none() && self.side.ask_gauges() {
+            self.side.waits_until = Some(now + GAUGES_WAIT);
+        } else {
+            self.on_time();
+        }
+    }
+
+    fn on_time(&mut self) {
+        let now = self.side.now;
         let late = (now - self.side.wake_at).max(0) / MS;
         let latest = &self.side.counters.clock_late_ms;
         latest.set(latest.get().max(late as u64));
         self.side.wake_at = Time::MAX;
+        self.side.waits_until = None;
         // Guards runs whose call was lost without a word: the ledger tells of the end of each in time.
         while let Some((_, number, inv)) = self.side.calls.first().copied().filter(|call| call.0 <= now) {
             self.side.calls.pop_first();
@@ -325,7 +340,6 @@
         let fresh = now - self.side.gauges_at <= GAUGES_AGE;
         let gauges = if fresh { self.side.gauges } else { Gauges::default() };
         self.module(|brain, now, side| brain.tick(now, gauges, side));
-        self.side.ask_gauges();
     }
 
     fn module(&mut self, call: impl FnOnce(&mut Brain, Time, &mut Side)) {
@@ -427,6 +441,9 @@
                 side.gauges = Gauges::default();
                 known.for_each(|(name, value)| set_gauge(&mut side.gauges, name, value));
                 side.gauges_at = side.now;
+                if side.waits_until.is_some() {
+                    self.on_time();
+                }
             }
             Notice::Refused { command, call } => {
                 add(&self.side.counters.kernel_refused);
@@ -635,14 +652,13 @@
             add(&self.counters.kernel_resent);
             self.tell(inv);
         }
-        self.ask_gauges();
     }
 
-    /// The gauges come back with the number of the last command told: what the kernel has read.
-    fn ask_gauges(&mut self) {
-        if let Some(out) = self.kernel.out.as_ref().filter(|out| out.len() < KERNEL_BEHIND) {
-            out.push(lines::sysinfo(&self.kernel.told.to_string()).as_bytes());
-        }
+    /// The gauges come back with the number of the last command told: what the kernel has read. False where they
+    /// can't be asked for.
+    fn ask_gauges(&mut self) -> bool {
+        let out = self.kernel.out.as_ref().filter(|out| out.len() < KERNEL_BEHIND);
+        out.map(|out| out.push(lines::sysinfo(&self.kernel.told.to_string()).as_bytes())).is_some()
     }
 
     // ---- calls ----
