--- a/server/tests/sockets.rs
+++ b/server/tests/sockets.rs
@@ -224,6 +224,90 @@
     sender.join().expect("it was held up");
 }
 
+/// The end of a router's input is not its leaving; a reset, or a word, is.
+#[test]
+fn a_router_that_only_stops_writing_still_gets_its_answers() {
+    let (place, mut kernel) = up(|_| {});
+    let mut router = Router::connect(place.server);
+    router.0.send(request(1, ONE, "lookup", b"ask"));
+    router.0.close_writing();
+    kernel.expect("SCHED", ONE);
+    kernel.tell("REAP", ONE, "OK", b"result");
+    assert_eq!(router.answer(), (1, "served", b"result".to_vec()));
+    assert!(router.0.ended());
+    let mut router = Router::connect(place.server);
+    router.0.send(request(1, TWO, "lookup", b"ask"));
+    kernel.expect("SCHED", TWO);
+    router.0.send(frame(8, 1, b""));
+    kernel.expect("PREEMPT", TWO);
+}
+
+/// The module closes idle connections while many are open: told first, then closed, and never one in use.
+#[test]
+fn idle_connections_go_at_the_word_of_the_module() {
+    let (place, mut kernel) = up(|_| {});
+    let mut busy = Router::connect(place.server);
+    busy.0.send(request(1, ONE, "lookup", b"ask"));
+    kernel.expect("SCHED", ONE);
+    let mut idle = Router::connect(place.server);
+    idle.0.send(frame(16, 1, &[0]));
+    assert_eq!(idle.frame().kind, 32);
+    kernel.links = 100;
+    let answers = std::thread::spawn(move || {
+        assert_eq!(idle.frame().kind, 64);
+        // What crossed that word is answered all the same.
+        idle.0.send(request(2, TWO, "lookup", b"late"));
+        assert_eq!(idle.answer(), (2, "served", b"crossed".to_vec()));
+        assert!(idle.0.ended());
+    });
+    kernel.expect("SCHED", TWO); // until then the gauges are told
+    kernel.tell("REAP", TWO, "OK", b"crossed");
+    answers.join().expect("told, then closed");
+    kernel.tell("REAP", ONE, "OK", b"result");
+    assert_eq!(busy.answer(), (1, "served", b"result".to_vec()));
+}
+
+#[test]
+fn an_idle_connection_to_the_ledger_is_closed_from_here() {
+    let (place, mut kernel) = up(|_| {});
+    let mut router = Router::connect(place.server);
+    for (stream, txn) in [(1, ONE), (2, TWO)] {
+        router.0.send(request(stream, txn, "report", b"ask"));
+        kernel.expect("SCHED", txn);
+        kernel.tell("IOREQ", txn, "", b"put");
+        let mut ledger = Ledger::accept(&place.ledger);
+        assert_eq!(ledger.hear().expect("a call").0[1], txn);
+        ledger.posted(txn, b"noted");
+        kernel.expect("IODONE", txn);
+        kernel.tell("REAP", txn, "OK", b"result");
+        assert_eq!(router.answer(), (stream, "served", b"result".to_vec()));
+        assert!(ledger.0.ended());
+    }
+}
+
+#[test]
+fn a_slow_or_failing_roster_is_told_again_and_delays_nobody() {
+    let (place, mut kernel) = up(|_| {});
+    let silent = place.roster.accept().expect("a report").0;
+    let mut failing = Link::new(place.roster.accept().expect("another, as the first was not answered").0);
+    report(&mut failing, "500 Sorry").expect("a report");
+    let mut good = Link::new(place.roster.accept().expect("a third").0);
+    for _ in 0..3 {
+        report(&mut good, "204 No Content").expect("reports on one connection");
+    }
+    served(&mut Router::connect(place.server), &mut kernel, 1, ONE);
+    drop(silent);
+}
+
+#[test]
+fn a_frame_left_half_sent_ends_its_connection() {
+    let (place, mut kernel) = up(|_| {});
+    let mut slow = Router::connect(place.server);
+    slow.0.send(&request(1, ONE, "lookup", b"ask")[..30]);
+    assert!(slow.0.ended());
+    served(&mut Router::connect(place.server), &mut kernel, 1, ONE);
+}
+
 #[test]
 fn after_the_notice_all_is_answered_and_it_ends_by_itself() {
     let (mut place, mut kernel) = up(|all| all["stop_ms"] = json!(60_000));
