Bounds on what a request may say; room is looked for again; a dead core ends the program

Seen by reading and by tests: ram=1e308 passed as finite and would have turned the module's byte sum into NaN for good; at the limit of descriptors room was made only when a connection left, so one that fell idle later was not used; a panic of the core or of a link left a program that takes requests and answers none; a connection with unreadable input was reset at once, which can eat the answers before it, now it is told to take no more and closed a second later.

--- a/server/src/frames.rs
+++ b/server/src/frames.rs
@@ -17,6 +17,10 @@
 const LENGTH: std::ops::RangeInclusive<usize> = 5..=262_144;
 pub const BODY: usize = 2048;
 pub const RESULT: usize = 4096;
+/// Most that a request may say: an hour of work in milliseconds, memory in KB, a Unix time in milliseconds.
+const WORK: f64 = 3.6e6;
+const MEMORY: f64 = 2000.0;
+const DOOR: f64 = 1e14;
 /// Bytes of a frame before its payload: length, type, stream.
 const HEAD: usize = 9;
 
@@ -109,8 +113,9 @@
     }
     let get = |name: &str| fields.iter().find(|(known, _)| *known == name).map(|(_, value)| *value);
     let need = |name: &str| get(name).ok_or_else(|| format!("no {name}"));
-    let number = |name: &str, value: &str| match value.parse::<f64>() {
-        Ok(number) if number.is_finite() && number >= 0.0 => Ok(number),
+    // Sums are made of these: out of bounds, one would spoil them for all that come after.
+    let number = |name: &str, value: &str, most: f64| match value.parse::<f64>() {
+        Ok(number) if (0.0..=most).contains(&number) => Ok(number),
         _ => Err(format!("{name} {value:?}")),
     };
     let txn = need("txn")?;
@@ -118,15 +123,15 @@
         Ok(word) if word.iter().all(u8::is_ascii_hexdigit) => word,
         _ => return Err(format!("txn {txn:?}")),
     };
-    let hint = get("cpu").map(|value| number("cpu", value)).transpose()?;
+    let hint = get("cpu").map(|value| number("cpu", value, WORK)).transpose()?;
     Ok(Request {
         txn,
         operation: need("verb")?,
         customer: get("team"),
-        door: (number("door", need("door")?)? * 10.0) as Time,
+        door: (number("door", need("door")?, DOOR)? * 10.0) as Time,
         hint: hint.filter(|ms| *ms > 0.0).map(|ms| ms * 10.0),
-        kb: number("ram", need("ram")?)?,
-        rank: get("standing").map_or(Ok(0.0), |value| number("standing", value))?,
+        kb: number("ram", need("ram")?, MEMORY)?,
+        rank: get("standing").map_or(Ok(0.0), |value| number("standing", value, 1.0))?,
         keyed: get("item").is_some(),
         body,
     })
--- a/server/src/front.rs
+++ b/server/src/front.rs
@@ -55,7 +55,7 @@
         loop {
             while self.connections() >= self.most {
                 self.make_room();
-                self.left.notified().await;
+                let _ = tokio::time::timeout(SWEEP, self.left.notified()).await;
             }
             match listener.accept().await {
                 Ok((stream, _)) => self.serve(stream),
@@ -151,13 +151,13 @@
     }
 
     /// Reads and writes one connection until it ends. After its end of input, or once it can't be read any
-    /// more, what is open on it is still answered.
+    /// more and what comes is passed over, what is open on it is still answered.
     async fn carry(&self, stream: &TcpStream, conn: &Conn) -> io::Result<()> {
         let (peer, pool) = (&conn.peer, &self.shared.pool);
         let mut reader = Reader { kept: None, skip: 0, ended: false, deaf: false };
         loop {
             peer.out.flush(|bytes| stream.try_write(bytes))?;
-            let over = reader.ended || reader.deaf || conn.close.get();
+            let over = reader.ended || conn.close.get();
             if conn.kill.get() || over && peer.is_idle() {
                 return Ok(());
             }
@@ -213,6 +213,7 @@
                 }
                 Next::Broken { length } => {
                     self.malformed(peer, 0, &format!("a frame of length {length}"));
+                    self.tell(conn);
                     reader.deaf = true;
                 }
             }
--- a/server/src/main.rs
+++ b/server/src/main.rs
@@ -14,6 +14,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::{channel, Receiver};
 use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep_until, Instant};
 
 /// Messages that may stand in the queue.
 const QUEUE: usize = 256;
@@ -23,6 +24,7 @@
 const BUFFERS: u64 = 4;
 const BACKLOG: u32 = 1024;
 const BEHIND_STOP: Duration = Duration::from_secs(1);
+const IDLE: Duration = Duration::from_secs(3600);
 /// The core looks up at least this often, in tenths of a millisecond.
 const LOOK: Time = 10_000;
 
@@ -64,25 +66,35 @@
     let front = Front::new(&shared, queue.clone(), clock, config.sockets - KEPT_BACK);
     let accepting = spawn_local(front.clone().accept(listener));
     spawn_local(front.clone().sweep());
-    spawn_local(kernel::link(config.kernel, shared.clone(), queue.clone()));
-    spawn_local(ledger::link(config.ledger, shared.clone(), queue.clone()));
+    let mut kernel = spawn_local(kernel::link(config.kernel, shared.clone(), queue.clone()));
+    let mut ledger = spawn_local(ledger::link(config.ledger, shared.clone(), queue.clone()));
     if let Some(address) = config.roster {
         spawn_local(roster::report(address, config.name.clone(), shared.clone()));
     }
     let core = Core::new(config.settings, config.names, &shared);
-    let core = spawn_local(run(core, notes, clock, front));
+    let mut core = spawn_local(run(core, notes, clock, front));
+    let mut stops: Option<Instant> = None;
     loop {
+        let end = stops.unwrap_or_else(|| Instant::now() + IDLE);
         tokio::select! {
             _ = usr1.recv() => log!("{}", shared.counters.line()),
-            _ = term.recv() => break,
+            _ = term.recv(), if stops.is_none() => {
+                // Stopped from outside by then, or later by itself: to go just before could lose what is being
+                // written.
+                stops = Some(Instant::now() + Duration::from_millis(config.stop as u64 / 10) + BEHIND_STOP);
+                let _ = queue.send(Note::Leave { within: config.stop }).await;
+            }
+            // Without its core the server would take requests and answer none.
+            ended = &mut core => {
+                ended.map_err(io::Error::other)?;
+                break accepting.abort();
+            }
+            // Without a link it would never run any, or never end a call.
+            _ = &mut kernel => return Err(io::Error::other("the link to the kernel ended")),
+            _ = &mut ledger => return Err(io::Error::other("the link to the ledger ended")),
+            () = sleep_until(end) => if stops.is_some() { break },
         }
     }
-    let _ = queue.send(Note::Leave { within: config.stop }).await;
-    // Stopped from outside by then, or later by itself: to go just before could lose what is being written.
-    let stop = Duration::from_millis(config.stop as u64 / 10) + BEHIND_STOP;
-    if tokio::time::timeout(stop, core).await.is_ok() {
-        accepting.abort();
-    }
     log!("stopped: {}", shared.counters.line());
     Ok(())
 }
@@ -93,7 +105,7 @@
         let due = clock.instant(core.wake_at().min(clock.now() + LOOK));
         tokio::select! {
             biased;
-            () = tokio::time::sleep_until(due.into()) => {}
+            () = sleep_until(due.into()) => {}
             note = notes.recv() => match note {
                 Some(note) => core.take(clock.now(), unix(), note),
                 None => return,
--- a/server/tests/sockets.rs
+++ b/server/tests/sockets.rs
@@ -161,6 +161,7 @@
     kernel.expect("SCHED", TWO);
     bad.0.send(300_000u32.to_be_bytes());
     assert_eq!(bad.answer(), (0, "failed", Vec::new()), "a length out of bounds");
+    assert_eq!(bad.frame().kind, 64, "nothing more is read from it");
     served(&mut good, &mut kernel, 1, "00000000000000c3");
     kernel.tell("REAP", TWO, "OK", b"still");
     assert_eq!(bad.answer(), (9, "served", b"still".to_vec()), "what was open is answered before the end");
@@ -271,18 +272,27 @@
 fn an_idle_connection_to_the_ledger_is_closed_from_here() {
     let (place, mut kernel) = up(|_| {});
     let mut router = Router::connect(place.server);
-    for (stream, txn) in [(1, ONE), (2, TWO)] {
-        router.0.send(request(stream, txn, "report", b"ask"));
-        kernel.expect("SCHED", txn);
+    router.0.send(request(1, ONE, "report", b"ask"));
+    let listener = place.ledger.try_clone().expect("a listener");
+    let calls = std::thread::spawn(move || {
+        for txn in [ONE, TWO] {
+            let mut ledger = Ledger::accept(&listener);
+            assert_eq!(ledger.hear().expect("a call").0[1], txn);
+            ledger.posted(txn, b"noted");
+            assert_eq!(router.answer(), (1, "served", b"result".to_vec()));
+            if txn == ONE {
+                assert!(ledger.0.ended());
+                router.0.send(request(1, TWO, "report", b"ask")); // its call gets a new connection
+            }
+        }
+    });
+    for txn in [ONE, TWO] {
+        kernel.expect("SCHED", txn); // until then the gauges are told
         kernel.tell("IOREQ", txn, "", b"put");
-        let mut ledger = Ledger::accept(&place.ledger);
-        assert_eq!(ledger.hear().expect("a call").0[1], txn);
-        ledger.posted(txn, b"noted");
         kernel.expect("IODONE", txn);
         kernel.tell("REAP", txn, "OK", b"result");
-        assert_eq!(router.answer(), (stream, "served", b"result".to_vec()));
-        assert!(ledger.0.ended());
     }
+    calls.join().expect("two connections");
 }
 
 #[test]
@@ -302,10 +312,18 @@
 #[test]
 fn a_frame_left_half_sent_ends_its_connection() {
     let (place, mut kernel) = up(|_| {});
-    let mut slow = Router::connect(place.server);
-    slow.0.send(&request(1, ONE, "lookup", b"ask")[..30]);
-    assert!(slow.0.ended());
-    served(&mut Router::connect(place.server), &mut kernel, 1, ONE);
+    let server = place.server;
+    let waiting = std::thread::spawn(move || {
+        let mut slow = Router::connect(server);
+        slow.0.send(&request(1, ONE, "lookup", b"ask")[..30]);
+        assert!(slow.0.ended());
+        let mut good = Router::connect(server);
+        good.0.send(request(1, TWO, "lookup", b"ask"));
+        good.answer()
+    });
+    kernel.expect("SCHED", TWO);
+    kernel.tell("REAP", TWO, "OK", b"result");
+    assert_eq!(waiting.join().expect("an end"), (1, "served", b"result".to_vec()));
 }
 
 #[test]
