--- a/server/src/core.rs
+++ b/server/src/core.rs
@@ -35,6 +35,8 @@
     pub out: Outbox,
     /// Streams that are owed an answer.
     pub open: RefCell<Vec<(u32, Inv)>>,
+    /// The newest stream of it.
+    pub last: Cell<u32>,
     /// Requests of it that stand in the queue.
     pub queued: Cell<u32>,
     pub active_at: Cell<Time>,
@@ -48,6 +50,7 @@
         Peer {
             out: Outbox::new(pool),
             open: RefCell::default(),
+            last: Cell::new(0),
             queued: Cell::new(0),
             active_at: Cell::new(now),
             told: Cell::new(None),
@@ -356,8 +359,9 @@
         if peer.gone.get() {
             return;
         }
-        if peer.open.borrow().iter().any(|(known, _)| *known == stream) {
-            return side.malformed(&peer, 0, &format!("stream {stream} is open already"));
+        // Streams count up: on one that was used before, an answer could be taken for that to another request.
+        if stream <= peer.last.replace(stream.max(peer.last.get())) {
+            return side.malformed(&peer, 0, &format!("stream {stream} was used before"));
         }
         if peer.open.borrow().len() >= STREAMS {
             return side.malformed(&peer, stream, "more streams than may be open");
--- a/server/tests/sockets.rs
+++ b/server/tests/sockets.rs
@@ -275,14 +275,14 @@
     router.0.send(request(1, ONE, "report", b"ask"));
     let listener = place.ledger.try_clone().expect("a listener");
     let calls = std::thread::spawn(move || {
-        for txn in [ONE, TWO] {
+        for (stream, txn) in [(1, ONE), (2, TWO)] {
             let mut ledger = Ledger::accept(&listener);
             assert_eq!(ledger.hear().expect("a call").0[1], txn);
             ledger.posted(txn, b"noted");
-            assert_eq!(router.answer(), (1, "served", b"result".to_vec()));
+            assert_eq!(router.answer(), (stream, "served", b"result".to_vec()));
             if txn == ONE {
                 assert!(ledger.0.ended());
-                router.0.send(request(1, TWO, "report", b"ask")); // its call gets a new connection
+                router.0.send(request(2, TWO, "report", b"ask")); // its call gets a new connection
             }
         }
     });
