A log that nobody reads ends nothing; unreachable parties are told of once

Seen: started with its standard error a pipe whose reader had gone, the program ended with code 101 at its first line, as eprintln panics there. The macro now writes and ignores the failure (log.rs says why it is not eprintln). Also: a kernel or a roster that can't be reached gets one log line, and a notice to leave before the kernel is up ends the program at once. Tests: sockets.rs.

--- a/server/src/core.rs
+++ b/server/src/core.rs
@@ -307,6 +307,7 @@
             Note::Leave { within } => {
                 self.side.voice.on.set(false);
                 self.closes_at = now + self.settings.drain_grace;
+                self.side.voice.closing.set(self.brain.is_none()); // nothing to wait for
                 self.module(|brain, now, side| brain.leaving(now, within, side));
             }
         }
--- a/server/src/kernel.rs
+++ b/server/src/kernel.rs
@@ -23,18 +23,29 @@
 
 pub async fn link(address: SocketAddr, shared: Shared, queue: Sender<Note>) {
     let mut link = Link { shared, queue, serial: 0, gap: 0 };
+    let mut reached = true;
     loop {
-        if let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(address)).await {
-            let _ = stream.set_nodelay(true);
-            add(&link.shared.counters.kernel_links);
-            let why = match link.carry(&stream).await {
-                Ok(()) => return,
-                Err(error) => error,
-            };
-            log!("link to the kernel, after notice {}: {why}", link.serial);
-            if link.queue.send(Note::KernelDown).await.is_err() {
-                return;
+        let connected = timeout(CONNECT, TcpStream::connect(address)).await;
+        let stream = match connected.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
+            Ok(stream) => stream,
+            Err(error) => {
+                if std::mem::take(&mut reached) {
+                    log!("the kernel at {address} can't be reached: {error}; trying on");
+                }
+                tokio::time::sleep(AGAIN).await;
+                continue;
             }
+        };
+        reached = true;
+        let _ = stream.set_nodelay(true);
+        add(&link.shared.counters.kernel_links);
+        let why = match link.carry(&stream).await {
+            Ok(()) => return,
+            Err(error) => error,
+        };
+        log!("link to the kernel, after notice {}: {why}", link.serial);
+        if link.queue.send(Note::KernelDown).await.is_err() {
+            return;
         }
         tokio::time::sleep(AGAIN).await;
     }
--- a/server/src/log.rs
+++ b/server/src/log.rs
@@ -1,6 +1,8 @@
-//! One macro for every log line, to standard error, rate-limited.
+//! One macro for every log line, to standard error, rate-limited. Not by `eprintln`, which panics once whoever reads the
+//! log has gone: measured, the program ended at its next line. Here that line is lost and nothing else.
 
 use std::cell::Cell;
+use std::io::Write;
 use std::time::Instant;
 
 /// Lines a second; what is more is counted and told of once.
@@ -23,15 +25,20 @@
     })
 }
 
+pub fn write(line: std::fmt::Arguments) {
+    let (may, left_out) = may_write(Instant::now());
+    let mut to = std::io::stderr().lock();
+    if left_out > 0 {
+        let _ = writeln!(to, "cypresscleat: {left_out} lines left out");
+    }
+    if may {
+        let _ = writeln!(to, "cypresscleat: {line}");
+    }
+}
+
 #[macro_export]
 macro_rules! log {
-    ($($part:tt)*) => {{
-        let (may, left_out) = $crate::log::may_write(std::time::Instant::now());
-        if left_out > 0 {
-            eprintln!("cypresscleat: {left_out} lines left out");
-        }
-        if may {
-            eprintln!("cypresscleat: {}", format_args!($($part)*));
-        }
-    }};
+    ($($part:tt)*) => {
+        $crate::log::write(format_args!($($part)*))
+    };
 }
--- a/server/src/roster.rs
+++ b/server/src/roster.rs
@@ -3,6 +3,7 @@
 use crate::core::Shared;
 use crate::counters::add;
 use crate::http;
+use crate::log;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,16 +17,27 @@
 
 pub async fn report(address: SocketAddr, name: String, shared: Shared) {
     let mut stream: Option<TcpStream> = None;
+    let mut heard = true;
     loop {
         let text = http::report(&address.to_string(), &name, shared.voice.on.get());
         match timeout(ANSWER, tell(stream.take(), address, text.as_bytes())).await {
             Ok(Ok(kept)) => {
                 add(&shared.counters.reports);
+                if !std::mem::replace(&mut heard, true) {
+                    log!("the roster answers again");
+                }
                 stream = kept;
                 sleep(EVERY).await;
             }
-            _ => {
+            lost => {
                 add(&shared.counters.reports_lost);
+                if std::mem::take(&mut heard) {
+                    let why = match lost {
+                        Ok(Err(error)) => error.to_string(),
+                        _ => "no answer in time".to_string(),
+                    };
+                    log!("a report to the roster at {address} was lost: {why}; trying on");
+                }
                 sleep(AGAIN).await;
             }
         }
--- a/server/tests/sockets.rs
+++ b/server/tests/sockets.rs
@@ -4,7 +4,7 @@
 use cypresscleat_examples::{frame, report, request, Kernel, Ledger, Link, Place, Router};
 use serde_json::{json, Value};
 use std::path::Path;
-use std::process::Command;
+use std::process::{Command, Stdio};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cypresscleat-server");
 const CONFIG: &str = include_str!("../../examples/config.json");
@@ -346,6 +346,36 @@
     assert!(place.exit().success());
 }
 
+/// Guards the program against the end of whoever reads its log.
+#[test]
+fn a_log_that_nobody_reads_ends_nothing() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut all: Value = serde_json::from_str(CONFIG).expect("JSON");
+    all["listen"] = json!("127.0.0.1:0");
+    all["kernel"] = json!(listener.local_addr().expect("an address").to_string());
+    let path = std::env::temp_dir().join(format!("cypresscleat-unread-{}.json", std::process::id()));
+    std::fs::write(&path, all.to_string()).expect("to write");
+    let mut program =
+        Command::new(PROGRAM).env("EDGE_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("to start");
+    drop(program.stderr.take());
+    let (mut kernel, _) = Kernel::accept(&listener);
+    for _ in 0..3 {
+        kernel.say(json!({"msg": "NONSENSE"})); // a line of the log each
+    }
+    kernel.boot("WARM");
+    assert!(kernel.link.line().is_some_and(|line| line.contains("SYSINFO")), "it lives on");
+    program.kill().and_then(|()| program.wait()).expect("its end");
+    let _ = std::fs::remove_file(&path);
+}
+
+#[test]
+fn a_notice_before_the_kernel_is_up_ends_it_at_once() {
+    let mut place = place(|all| all["stop_ms"] = json!(60_000));
+    let (_kernel, _) = Kernel::accept(&place.kernel);
+    place.signal("TERM");
+    assert!(place.exit().success());
+}
+
 #[test]
 fn a_faulty_configuration_ends_the_start_and_names_the_key() {
     let cases: [(&str, Value, &str); 9] = [
