--- a/examples/src/lib.rs
+++ b/examples/src/lib.rs
@@ -104,8 +104,8 @@
     out
 }
 
-/// A request that came to the machine now.
-pub fn request(stream: u32, txn: &str, operation: &str, body: &[u8]) -> Vec<u8> {
+/// An invocation that came to the machine now.
+pub fn invocation(stream: u32, txn: &str, operation: &str, body: &[u8]) -> Vec<u8> {
     let door = unix_ms().to_string();
     let fields = [
         ("verb", operation),
@@ -143,9 +143,9 @@
         let frame = self.frame();
         assert_eq!(frame.kind, 4, "{frame:?}");
         let code = match frame.payload[0] {
-            79 => "served",
-            66 => "refused",
-            69 => "failed",
+            79 => "succeeded",
+            66 => "throttled",
+            69 => "errored",
             code => panic!("code {code}"),
         };
         let mut at = 2;
--- a/examples/src/toy.rs
+++ b/examples/src/toy.rs
@@ -1,16 +1,16 @@
-//! A toy deployment: starts one app server between stand-ins, sends it a few requests, prints what each party
+//! A toy deployment: starts one app server between stand-ins, sends it a few invocations, prints what each party
 //! sees, and ends it as an operator would.
 //!
 //!     cargo build --release && cargo run --release -p cypresscleat-examples --bin toy
 //!
 //! Another program, or another configuration, may be named: `toy PROGRAM CONFIG`.
 
-use cypresscleat_examples::{frame, report, request, Kernel, Ledger, Link, Place, Router};
+use cypresscleat_examples::{frame, invocation, report, Kernel, Ledger, Link, Place, Router};
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
 
-const REQUESTS: u32 = 6;
+const INVOCATIONS: u32 = 6;
 
 fn main() {
     let mut words = std::env::args().skip(1);
@@ -44,11 +44,11 @@
     let mut router = Router::connect(place.server);
     router.0.send(frame(16, 1, &[0]));
     println!("router: health check answered with {}", router.frame().payload[0]);
-    for stream in 1..=REQUESTS {
+    for stream in 1..=INVOCATIONS {
         let operation = if stream % 2 == 0 { "lookup" } else { "report" };
-        router.0.send(request(stream, &format!("{stream:016x}"), operation, b"tell me"));
+        router.0.send(invocation(stream, &format!("{stream:016x}"), operation, b"tell me"));
     }
-    for _ in 0..REQUESTS {
+    for _ in 0..INVOCATIONS {
         let (stream, code, body) = router.answer();
         println!("router: stream {stream} {code} {:?}", String::from_utf8_lossy(&body));
     }
@@ -59,7 +59,7 @@
     println!("the app server ended: {}", place.exit());
 }
 
-/// Runs each request for a moment; a `report` calls below once.
+/// Runs each invocation for a moment; a `report` calls below once.
 fn run_kernel(listener: &std::net::TcpListener) {
     let (mut kernel, _) = Kernel::accept(listener);
     kernel.boot("WARM");
--- a/server/src/core.rs
+++ b/server/src/core.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// Requests a connection may have open.
+/// Invocations a connection may have open.
 const STREAMS: usize = 32;
 /// The module's timer waits this long for the gauges asked for when it came due, and then goes on with the last
 /// ones, or, where these are older than that, without.
@@ -24,7 +24,7 @@
 const GAUGES_AGE: Time = 200 * MS;
 /// A call is given up from here when its reply is this late: the ledger tells of its end by itself.
 const CALL_MARGIN: Time = 50 * MS;
-/// Answers sent into a closing connection are kept this long, and so many: the request may come again.
+/// Answers sent into a closing connection are kept this long, and so many: the invocation may come again.
 const RESENT_WITHIN: Time = 1000 * MS;
 const RESENT_MOST: usize = 64;
 /// No gauges are asked for while more than this waits for the kernel to read.
@@ -37,10 +37,10 @@
     pub open: RefCell<Vec<(u32, Inv)>>,
     /// The newest stream of it.
     pub last: Cell<u32>,
-    /// Requests of it that stand in the queue.
+    /// Invocations of it that stand in the queue.
     pub queued: Cell<u32>,
     pub active_at: Cell<Time>,
-    /// It was told to send no new request.
+    /// It was told to send no new invocation.
     pub told: Cell<Option<Time>>,
     pub gone: Cell<bool>,
 }
@@ -71,7 +71,7 @@
     pub idle: Cell<Option<Time>>,
     /// What the roster is told.
     pub on: Cell<bool>,
-    /// The grace of a drain is over: connections without an open request are to go.
+    /// The grace of a drain is over: connections without an open invocation are to go.
     pub closing: Cell<bool>,
 }
 
@@ -115,7 +115,7 @@
 
 /// The messages read from sockets, in the order of the one queue.
 pub enum Note {
-    Request {
+    Arrived {
         peer: Rc<Peer>,
         stream: u32,
         payload: Buf,
@@ -283,7 +283,7 @@
     pub fn take(&mut self, now: Time, unix: Time, note: Note) {
         self.side.now = now;
         match note {
-            Note::Request { peer, stream, payload } => self.request(unix, peer, stream, payload),
+            Note::Arrived { peer, stream, payload } => self.arrived(unix, peer, stream, payload),
             Note::Left { peer, stream } => {
                 let open = peer.open.borrow().iter().find(|(known, _)| *known == stream).map(|(_, inv)| *inv);
                 if let Some(inv) = open {
@@ -354,20 +354,20 @@
 
     // ---- routers ----
 
-    fn request(&mut self, unix: Time, peer: Rc<Peer>, stream: u32, payload: Buf) {
+    fn arrived(&mut self, unix: Time, peer: Rc<Peer>, stream: u32, payload: Buf) {
         let side = &mut self.side;
         peer.queued.set(peer.queued.get().saturating_sub(1));
         if peer.gone.get() {
             return;
         }
-        // Streams count up: on one that was used before, an answer could be taken for that to another request.
+        // Streams count up: on one that was used before, an answer could be taken for that to another invocation.
         if stream <= peer.last.replace(stream.max(peer.last.get())) {
             return side.malformed(&peer, 0, &format!("stream {stream} was used before"));
         }
         if peer.open.borrow().len() >= STREAMS {
             return side.malformed(&peer, stream, "more streams than may be open");
         }
-        let read = match frames::request(&payload) {
+        let read = match frames::invocation(&payload) {
             Ok(read) => read,
             Err(what) => return side.malformed(&peer, stream, &what),
         };
@@ -387,7 +387,7 @@
             return;
         }
         let Some(brain) = self.brain.as_mut() else {
-            return side.malformed(&peer, stream, "a request before the kernel is up");
+            return side.malformed(&peer, stream, "an invocation before the kernel is up");
         };
         add(&side.counters.invocations);
         let (keyed, body) = (read.keyed, payload.len() - read.body.len());
@@ -450,8 +450,8 @@
                     self.on_time();
                 }
             }
-            Notice::Refused { command, call } => {
-                add(&self.side.counters.kernel_refused);
+            Notice::Rejected { command, call } => {
+                add(&self.side.counters.kernel_rejected);
                 log!("the kernel would not carry out {command} {call}");
                 // A run that never started, or can't go on, would else hold its place until it is due.
                 let ends = matches!(command.as_str(), "SCHED" | "IODONE");
@@ -482,11 +482,11 @@
         match how {
             Outcome::Succeeded => {
                 add(&counters.runs_succeeded);
-                self.side.answer(inv, frames::SERVED, &[], &blob);
+                self.side.answer(inv, frames::SUCCEEDED, &[], &blob);
             }
             Outcome::Errored => {
                 add(&counters.runs_errored);
-                self.side.answer(inv, frames::FAILED, &[], b"");
+                self.side.answer(inv, frames::ERRORED, &[], b"");
             }
             _ => add(&counters.runs_stopped),
         }
@@ -563,8 +563,8 @@
         let Some((peer, stream)) = self.settle(inv) else { return };
         let counters = &self.counters;
         add(match code {
-            frames::SERVED => &counters.succeeded,
-            frames::REFUSED => &counters.throttled,
+            frames::SUCCEEDED => &counters.succeeded,
+            frames::THROTTLED => &counters.throttled,
             _ => &counters.errored,
         });
         let frame = self.voice.with(fields, |all| frames::answer(frames::ANSWER, stream, code, all, body));
@@ -573,7 +573,7 @@
         } else {
             peer.out.push(&frame);
         }
-        // Guards a request that crossed the close of its connection, after this answer: it comes once more.
+        // Guards an invocation that crossed the close of its connection, after this answer: it comes once more.
         if peer.gone.get() || peer.told.get().is_some() {
             let mut payload = self.pool.take();
             payload.push(&frame[9..]);
@@ -585,7 +585,7 @@
         }
     }
 
-    /// Guards against a request that crossed the close of its connection and was sent once more: under an id
+    /// Guards against an invocation that crossed the close of its connection and was sent once more: under an id
     /// that is open or answered it is the same invocation. It is not run again; its answer goes where it
     /// came from last, at most once on a connection.
     fn came_again(&mut self, txn: Txn, peer: &Rc<Peer>, stream: u32) -> bool {
@@ -608,11 +608,11 @@
         true
     }
 
-    /// Not to be understood: an answer is owed all the same, on stream 0 where it belongs to no request.
+    /// Not to be understood: an answer is owed all the same, on stream 0 where it belongs to no invocation.
     fn malformed(&mut self, peer: &Peer, stream: u32, what: &str) {
         add(&self.counters.malformed);
         log!("from a router, stream {stream}: {what}");
-        peer.out.push(&frames::answer(frames::ANSWER, stream, frames::FAILED, &[], b""));
+        peer.out.push(&frames::answer(frames::ANSWER, stream, frames::ERRORED, &[], b""));
     }
 
     // ---- commands to the kernel ----
@@ -690,10 +690,10 @@
         let later = (back / MS).to_string();
         let fields = [("later", later.as_str()), ("giveup", "1")];
         let from = usize::from(back < MS);
-        self.answer(inv, frames::REFUSED, &fields[from..if give_up { 2 } else { 1 }], b"");
+        self.answer(inv, frames::THROTTLED, &fields[from..if give_up { 2 } else { 1 }], b"");
     }
     fn error(&mut self, inv: Inv) {
-        self.answer(inv, frames::FAILED, &[], b"");
+        self.answer(inv, frames::ERRORED, &[], b"");
     }
     fn stop(&mut self, inv: Inv) {
         add(&self.counters.stops);
@@ -738,7 +738,7 @@
     }
     /// The one place where an index and all that hangs on it is given back.
     fn release(&mut self, inv: Inv) {
-        self.answer(inv, frames::FAILED, &[], b""); // where none was given: none is left without
+        self.answer(inv, frames::ERRORED, &[], b""); // where none was given: none is left without
         self.give_up_call(inv);
         if let Some(open) = self.open[inv].take() {
             self.index.remove(&open.txn);
--- a/server/src/counters.rs
+++ b/server/src/counters.rs
@@ -1,4 +1,4 @@
-//! What was taken in, sent and answered, as one line on request (SIGUSR1) and at exit.
+//! What was taken in, sent and answered, as one line on invocation (SIGUSR1) and at exit.
 
 use std::cell::Cell;
 
@@ -35,15 +35,15 @@
     runs: "runs started",
     stops: "runs stopped",
     runs_succeeded: "runs that ended well",
-    runs_errored: "runs that failed",
+    runs_errored: "runs that errored",
     runs_stopped: "runs that were stopped or had nothing to do",
     kernel_links: "links made to the kernel",
     kernel_resent: "commands sent again on a new link",
-    kernel_refused: "commands the kernel would not carry out",
+    kernel_rejected: "commands the kernel would not carry out",
     calls: "calls posted to the ledger",
     calls_succeeded: "calls posted well",
     calls_throttled: "calls turned away",
-    calls_errored: "calls that failed",
+    calls_errored: "calls that errored",
     calls_expired: "calls that ran out of time",
     calls_lost: "calls whose connection broke or never came about",
     calls_abandoned: "calls given up from here",
--- a/server/src/frames.rs
+++ b/server/src/frames.rs
@@ -2,22 +2,22 @@
 
 use cypresscleat::api::Time;
 
-pub const REQUEST: u8 = 2;
+pub const INVOCATION: u8 = 2;
 pub const ANSWER: u8 = 4;
 pub const LEFT: u8 = 8;
 pub const CHECK: u8 = 16;
 pub const CHECKED: u8 = 32;
 pub const NO_MORE: u8 = 64;
 
-pub const SERVED: u8 = 79;
-pub const REFUSED: u8 = 66;
-pub const FAILED: u8 = 69;
+pub const SUCCEEDED: u8 = 79;
+pub const THROTTLED: u8 = 66;
+pub const ERRORED: u8 = 69;
 
-/// Bounds of a frame's length, of a request's body and of a result.
+/// Bounds of a frame's length, of an invocation's body and of a result.
 const LENGTH: std::ops::RangeInclusive<usize> = 5..=262_144;
 pub const BODY: usize = 2048;
 pub const RESULT: usize = 4096;
-/// Most that a request may say: an hour of work in milliseconds, memory in KB, a Unix time in milliseconds.
+/// Most that an invocation may say: an hour of work in milliseconds, memory in KB, a Unix time in milliseconds.
 const WORK: f64 = 3.6e6;
 const MEMORY: f64 = 2000.0;
 const DOOR: f64 = 1e14;
@@ -91,9 +91,9 @@
 
 pub type Txn = [u8; 16];
 
-/// What the fields of a request say; names are those of the settings.
+/// What the fields of an invocation say; names are those of the settings.
 #[derive(Debug, PartialEq)]
-pub struct Request<'a> {
+pub struct Invocation<'a> {
     pub txn: Txn,
     pub operation: &'a str,
     pub customer: Option<&'a str>,
@@ -106,7 +106,7 @@
     pub body: &'a [u8],
 }
 
-pub fn request(payload: &[u8]) -> Result<Request<'_>, String> {
+pub fn invocation(payload: &[u8]) -> Result<Invocation<'_>, String> {
     let (fields, body) = fields(payload).ok_or("fields that can't be read")?;
     if body.len() > BODY {
         return Err(format!("a body of {} bytes", body.len()));
@@ -124,7 +124,7 @@
         _ => return Err(format!("txn {txn:?}")),
     };
     let hint = get("cpu").map(|value| number("cpu", value, WORK)).transpose()?;
-    Ok(Request {
+    Ok(Invocation {
         txn,
         operation: need("verb")?,
         customer: get("team"),
--- a/server/src/front.rs
+++ b/server/src/front.rs
@@ -18,7 +18,7 @@
 const BEHIND: usize = 16 * SIZE;
 /// A frame half sent, or an outbox of which nothing is read, for longer than this ends its connection.
 const STUCK: Time = 15_000 * MS;
-/// A connection told to take no new request is closed from here after this long without one.
+/// A connection told to take no new invocation is closed from here after this long without one.
 const TOLD: Time = 1_000 * MS;
 const SWEEP: Duration = Duration::from_millis(50);
 const NO_ROOM: Duration = Duration::from_millis(5);
@@ -68,7 +68,7 @@
     }
 
     /// Guards the descriptors: at their limit the connection that idles longest goes, never one with an open
-    /// request. May hurt where routers come back at once.
+    /// invocation. May hurt where routers come back at once.
     fn make_room(&self) {
         let conns = self.conns.borrow();
         let idle = conns.iter().filter(|conn| conn.peer.is_idle() && !conn.close.get());
@@ -79,7 +79,7 @@
         }
     }
 
-    /// No new request on this connection.
+    /// No new invocation on this connection.
     fn tell(&self, conn: &Conn) {
         if conn.peer.told.get().is_none() {
             conn.peer.told.set(Some(self.clock.now()));
@@ -206,7 +206,7 @@
                     at += size;
                 }
                 Next::Large { kind, stream, size } => {
-                    let stream = if kind == frames::REQUEST { stream } else { 0 };
+                    let stream = if kind == frames::INVOCATION { stream } else { 0 };
                     self.malformed(peer, stream, &format!("a frame of {size} bytes"));
                     reader.skip = size - (buf.len() - at);
                     at = buf.len();
@@ -224,11 +224,11 @@
     async fn frame(&self, peer: &Rc<Peer>, kind: u8, stream: u32, payload: &[u8]) {
         peer.active_at.set(self.clock.now());
         let note = match kind {
-            frames::REQUEST if stream > 0 => {
+            frames::INVOCATION if stream > 0 => {
                 let mut copy = self.shared.pool.take();
                 copy.push(payload);
                 peer.queued.set(peer.queued.get() + 1);
-                Note::Request { peer: peer.clone(), stream, payload: copy }
+                Note::Arrived { peer: peer.clone(), stream, payload: copy }
             }
             frames::LEFT => Note::Left { peer: peer.clone(), stream },
             frames::CHECK => return self.check(peer, stream),
@@ -241,7 +241,7 @@
     fn check(&self, peer: &Peer, stream: u32) {
         add(&self.shared.counters.checks);
         let voice = &self.shared.voice;
-        let code = if voice.good.get() { frames::SERVED } else { frames::FAILED };
+        let code = if voice.good.get() { frames::SUCCEEDED } else { frames::ERRORED };
         let frame = voice.with(&[], |fields| frames::answer(frames::CHECKED, stream, code, fields, b""));
         peer.out.push(&frame);
     }
@@ -249,7 +249,7 @@
     fn malformed(&self, peer: &Peer, stream: u32, what: &str) {
         add(&self.shared.counters.malformed);
         log!("from a router, stream {stream}: {what}");
-        peer.out.push(&frames::answer(frames::ANSWER, stream, frames::FAILED, &[], b""));
+        peer.out.push(&frames::answer(frames::ANSWER, stream, frames::ERRORED, &[], b""));
     }
 }
 
--- a/server/src/lines.rs
+++ b/server/src/lines.rs
@@ -20,7 +20,7 @@
     Reap { call: String, how: Outcome, blob: Buf },
     Call { call: String, blob: Buf },
     Info { cookie: String, stats: Vec<f64> },
-    Refused { command: String, call: String },
+    Rejected { command: String, call: String },
     Remark(String),
 }
 
@@ -63,7 +63,9 @@
             let stats = stats.iter().map(|value| value.as_f64().unwrap_or(f64::NAN)).collect();
             Notice::Info { cookie: text("cookie")?.to_string(), stats }
         }
-        ("EINVAL", Ok(how)) => Notice::Refused { command: how.to_string(), call: call().unwrap_or_default() },
+        ("EINVAL", Ok(how)) => {
+            Notice::Rejected { command: how.to_string(), call: call().unwrap_or_default() }
+        }
         ("DMESG", how) => Notice::Remark(how.unwrap_or("").to_string()),
         (msg, how) => return Err(format!("msg {msg:?} how {how:?}")),
     })
--- a/server/src/main.rs
+++ b/server/src/main.rs
@@ -37,8 +37,8 @@
         }
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let served = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, serve(config)));
-    match served {
+    let ended = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, serve(config)));
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log!("{error}");
@@ -84,7 +84,7 @@
                 stops = Some(Instant::now() + Duration::from_millis(config.stop as u64 / 10) + BEHIND_STOP);
                 let _ = queue.send(Note::Leave { within: config.stop }).await;
             }
-            // Without its core the server would take requests and answer none.
+            // Without its core the server would take invocations and answer none.
             ended = &mut core => {
                 ended.map_err(io::Error::other)?;
                 break accepting.abort();
--- a/server/tests/core.rs
+++ b/server/tests/core.rs
@@ -1,17 +1,17 @@
 //! Plays every file of tests/core through the core: no socket, no clock. Notation, times in milliseconds:
 //!   TIME kernel JSON                  a notice of the kernel
 //!   TIME link | unlink                a link to the kernel is up with all missed notices told | is gone
-//!   TIME NAME sends STREAM TXN [FIELD=VALUE ...]   a request on the connection NAME, of type 2; its body is "ask"
+//!   TIME NAME sends STREAM TXN [FIELD=VALUE ...]   an invocation on the connection NAME, of type 2; its body is "ask"
 //!   TIME NAME leaves STREAM           nobody waits for the stream any more
 //!   TIME NAME closes                  the connection is gone
-//!   TIME NAME told                    it was told to send no new request
+//!   TIME NAME told                    it was told to send no new invocation
 //!   TIME ledger TXN OUTCOME           the newest call for that one ended so (outcomes as on the ledger's wire, or
 //!                                     `unreached`, `broken`; the reply of `posted` is "reply")
 //!   TIME term MS                      notice to leave
 //!   TIME pass                         only time passes; ticks come by themselves
 //!   expect WORDS | refuse WORDS       among what was written since the event before, by its first words
 //!   owed N                            answers that are owed now
-//! What is written: `kernel MSG TXN [BODY]`, `NAME STREAM served|refused|failed [BODY]`, `ledger post TXN MS BODY`,
+//! What is written: `kernel MSG TXN [BODY]`, `NAME STREAM succeeded|throttled|errored [BODY]`, `ledger post TXN MS BODY`,
 //! `ledger abandon TXN [late]`. A txn stands without its leading zeros.
 
 use cypresscleat::api::{Outcome, Time};
@@ -124,7 +124,7 @@
                 let peer = self.peers.entry(name.to_string()).or_insert_with(new).clone();
                 peer.queued.set(peer.queued.get() + 1);
                 let (stream, payload) = (stream.parse().expect("a stream"), self.buf(&payload));
-                self.take(Note::Request { peer, stream, payload });
+                self.take(Note::Arrived { peer, stream, payload });
             }
             [name, "leaves", stream] => {
                 let (peer, stream) = (self.peers[name].clone(), stream.parse().expect("a stream"));
@@ -157,9 +157,9 @@
             let mut rest = &bytes[..];
             while let Next::Frame { kind: frames::ANSWER, stream, payload, size } = frames::next(rest, SIZE) {
                 let code = match payload[0] {
-                    frames::SERVED => "served",
-                    frames::REFUSED => "refused",
-                    _ => "failed",
+                    frames::SUCCEEDED => "succeeded",
+                    frames::THROTTLED => "throttled",
+                    _ => "errored",
                 };
                 let (_, body) = frames::fields(&payload[1..]).expect("fields");
                 self.seen.push(format!("{name} {stream} {code} {}", String::from_utf8_lossy(body)));
--- a/server/tests/sockets.rs
+++ b/server/tests/sockets.rs
@@ -1,7 +1,7 @@
 //! The program itself over loopback, between the stand-ins of `examples`: whole paths, links that break, hostile
 //! peers, limits, drain. Nothing here waits for luck: each party speaks when it has heard what it waited for.
 
-use cypresscleat_examples::{frame, report, request, Kernel, Ledger, Link, Place, Router};
+use cypresscleat_examples::{frame, invocation, report, Kernel, Ledger, Link, Place, Router};
 use serde_json::{json, Value};
 use std::path::Path;
 use std::process::{Command, Stdio};
@@ -25,12 +25,12 @@
     (place, kernel)
 }
 
-/// Sends one request and lets it run to its end.
-fn served(router: &mut Router, kernel: &mut Kernel, stream: u32, txn: &str) {
-    router.0.send(request(stream, txn, "lookup", b"ask"));
+/// Sends one invocation and lets it run to its end.
+fn succeeds(router: &mut Router, kernel: &mut Kernel, stream: u32, txn: &str) {
+    router.0.send(invocation(stream, txn, "lookup", b"ask"));
     assert_eq!(kernel.expect("SCHED", txn), b"ask");
     kernel.tell("REAP", txn, "OK", b"result");
-    assert_eq!(router.answer(), (stream, "served", b"result".to_vec()));
+    assert_eq!(router.answer(), (stream, "succeeded", b"result".to_vec()));
 }
 
 #[test]
@@ -41,8 +41,8 @@
     assert_eq!((path.as_str(), body.as_str()), ("PUT /roster/toy HTTP/1.1", "{\"duty\":\"on\"}"));
 
     let mut router = Router::connect(place.server);
-    let mut bytes = request(1, ONE, "report", &[7; 2048]);
-    bytes.extend(request(2, TWO, "lookup", b""));
+    let mut bytes = invocation(1, ONE, "report", &[7; 2048]);
+    bytes.extend(invocation(2, TWO, "lookup", b""));
     bytes.extend(frame(16, 9, &[0]));
     for part in bytes.chunks(501) {
         router.0.send(part); // frames come in parts, and several at once
@@ -56,11 +56,11 @@
     let (words, body) = ledger.hear().expect("a call");
     assert_eq!((&words[..2], &body[..]), (&["post".to_string(), ONE.to_string()][..], &b"put"[..]));
     kernel.tell("REAP", TWO, "OK", b"second");
-    assert_eq!(router.answer(), (2, "served", b"second".to_vec()), "answers come in any order");
+    assert_eq!(router.answer(), (2, "succeeded", b"second".to_vec()), "answers come in any order");
     ledger.posted(ONE, &[1; 4096]);
     assert_eq!(kernel.expect("IODONE", ONE), vec![1; 4096]);
     kernel.tell("REAP", ONE, "OK", &[9; 4096]);
-    assert_eq!(router.answer(), (1, "served", vec![9; 4096]));
+    assert_eq!(router.answer(), (1, "succeeded", vec![9; 4096]));
     place.signal("USR1");
     let counters = place.logged("connections 1,");
     assert!(counters.contains("invocations 2, ") && counters.contains("succeeded 2, "), "{counters}");
@@ -79,23 +79,23 @@
     let first = kernel.link.line().expect("a command");
     assert!(first.contains("SYSINFO"), "{first}");
     kernel.say(json!({"msg": "INFO", "cookie": "sync", "stats": [0, 0, 0, 0]}));
-    served(&mut router, &mut kernel, 1, ONE);
+    succeeds(&mut router, &mut kernel, 1, ONE);
 }
 
 #[test]
 fn a_broken_link_to_the_kernel_loses_nothing() {
     let (place, mut kernel) = up(|_| {});
     let mut router = Router::connect(place.server);
-    router.0.send(request(1, ONE, "lookup", b"ask"));
+    router.0.send(invocation(1, ONE, "lookup", b"ask"));
     kernel.expect("SCHED", ONE);
     kernel.tell("DMESG", "", "a remark", b"");
-    served(&mut router, &mut kernel, 2, TWO);
+    succeeds(&mut router, &mut kernel, 2, TWO);
     kernel.link.close();
     let (mut again, serial) = Kernel::accept(&place.kernel);
     assert_eq!(serial, 2, "it names the last notice it read");
     again.boot("WARM");
     again.tell("REAP", ONE, "OK", b"meanwhile");
-    assert_eq!(router.answer(), (1, "served", b"meanwhile".to_vec()));
+    assert_eq!(router.answer(), (1, "succeeded", b"meanwhile".to_vec()));
     // A gap in the numbers: notices were lost, the link is made anew to get them.
     again.serial += 1;
     again.tell("DMESG", "", "too far", b"");
@@ -108,7 +108,7 @@
     third.link.send("\n");
     third.serial = 3;
     third.tell("REAP", ONE, "ERROR", b"");
-    served(&mut router, &mut third, 3, "00000000000000c3");
+    succeeds(&mut router, &mut third, 3, "00000000000000c3");
 }
 
 #[test]
@@ -116,7 +116,7 @@
     let (place, mut kernel) = up(|_| {});
     let mut router = Router::connect(place.server);
     let mut ask = |kernel: &mut Kernel, stream, txn| {
-        router.0.send(request(stream, txn, "report", b"ask"));
+        router.0.send(invocation(stream, txn, "report", b"ask"));
         kernel.expect("SCHED", txn);
         kernel.tell("IOREQ", txn, "", b"put");
     };
@@ -137,8 +137,8 @@
     // The end of its run gives up its call.
     kernel.tell("REAP", TWO, "OK", b"without it");
     assert_eq!(ledger.hear().expect("a word").0, ["abandon", TWO]);
-    assert_eq!(router.answer(), (1, "failed", Vec::new()));
-    assert_eq!(router.answer(), (2, "served", b"without it".to_vec()));
+    assert_eq!(router.answer(), (1, "errored", Vec::new()));
+    assert_eq!(router.answer(), (2, "succeeded", b"without it".to_vec()));
 }
 
 #[test]
@@ -147,38 +147,38 @@
     let mut good = Router::connect(place.server);
     let mut bad = Router::connect(place.server);
     bad.0.send(frame(3, 5, b"what"));
-    assert_eq!(bad.answer(), (0, "failed", Vec::new()), "an unknown type");
-    bad.0.send(request(0, ONE, "lookup", b""));
-    assert_eq!(bad.answer(), (0, "failed", Vec::new()), "stream 0 is no request's");
+    assert_eq!(bad.answer(), (0, "errored", Vec::new()), "an unknown type");
+    bad.0.send(invocation(0, ONE, "lookup", b""));
+    assert_eq!(bad.answer(), (0, "errored", Vec::new()), "stream 0 is no invocation's");
     bad.0.send(frame(2, 5, &[3, 4, b'v']));
-    assert_eq!(bad.answer(), (5, "failed", Vec::new()), "fields that end too soon");
-    bad.0.send(request(6, ONE, "lookup", &[0; 2049]));
-    assert_eq!(bad.answer(), (6, "failed", Vec::new()), "a body over its limit");
-    bad.0.send(request(7, ONE, "lookup", &[0; 100_000]));
-    assert_eq!(bad.answer(), (7, "failed", Vec::new()), "a frame that no buffer holds is passed over");
-    served(&mut bad, &mut kernel, 8, ONE);
-    bad.0.send(request(9, TWO, "lookup", b""));
+    assert_eq!(bad.answer(), (5, "errored", Vec::new()), "fields that end too soon");
+    bad.0.send(invocation(6, ONE, "lookup", &[0; 2049]));
+    assert_eq!(bad.answer(), (6, "errored", Vec::new()), "a body over its limit");
+    bad.0.send(invocation(7, ONE, "lookup", &[0; 100_000]));
+    assert_eq!(bad.answer(), (7, "errored", Vec::new()), "a frame that no buffer holds is passed over");
+    succeeds(&mut bad, &mut kernel, 8, ONE);
+    bad.0.send(invocation(9, TWO, "lookup", b""));
     kernel.expect("SCHED", TWO);
     bad.0.send(300_000u32.to_be_bytes());
-    assert_eq!(bad.answer(), (0, "failed", Vec::new()), "a length out of bounds");
+    assert_eq!(bad.answer(), (0, "errored", Vec::new()), "a length out of bounds");
     assert_eq!(bad.frame().kind, 64, "nothing more is read from it");
-    served(&mut good, &mut kernel, 1, "00000000000000c3");
+    succeeds(&mut good, &mut kernel, 1, "00000000000000c3");
     kernel.tell("REAP", TWO, "OK", b"still");
-    assert_eq!(bad.answer(), (9, "served", b"still".to_vec()), "what was open is answered before the end");
+    assert_eq!(bad.answer(), (9, "succeeded", b"still".to_vec()), "what was open is answered before the end");
     assert!(bad.0.ended());
 
     // More streams than may be open on one connection.
     for stream in 10..43 {
-        good.0.send(request(stream, &format!("{stream:016x}"), "lookup", b""));
+        good.0.send(invocation(stream, &format!("{stream:016x}"), "lookup", b""));
     }
     let many = std::iter::from_fn(|| Some(good.answer())).find(|(stream, ..)| *stream == 42);
-    assert_eq!(many, Some((42, "failed", Vec::new())));
+    assert_eq!(many, Some((42, "errored", Vec::new())));
 
-    // Connections that end in the middle of a frame, with requests open.
+    // Connections that end in the middle of a frame, with invocations open.
     for cut in [3, 8, 20] {
         let mut torn = Router::connect(place.server);
-        torn.0.send(request(1, &format!("{cut:016x}"), "lookup", b""));
-        torn.0.send(&request(2, TWO, "lookup", b"")[..cut]);
+        torn.0.send(invocation(1, &format!("{cut:016x}"), "lookup", b""));
+        torn.0.send(&invocation(2, TWO, "lookup", b"")[..cut]);
         torn.0.close();
     }
     let mut after = Router::connect(place.server);
@@ -191,7 +191,7 @@
 fn a_storm_of_connections_makes_room_and_leaves_open_requests_alone() {
     let (place, mut kernel) = up(|all| all["limits"]["sockets"] = json!(64));
     let mut busy = Router::connect(place.server);
-    busy.0.send(request(1, ONE, "lookup", b"ask"));
+    busy.0.send(invocation(1, ONE, "lookup", b"ask"));
     kernel.expect("SCHED", ONE);
     let mut idle: Vec<Link> = (0..100).map(|_| Link::connect(place.server)).collect();
     let mut last = Router::connect(place.server);
@@ -200,7 +200,7 @@
     assert_eq!(idle[0].exact(9)[4], 64, "the one idle for longest is told to go");
     assert!(idle[0].ended());
     kernel.tell("REAP", ONE, "OK", b"result");
-    assert_eq!(busy.answer(), (1, "served", b"result".to_vec()));
+    assert_eq!(busy.answer(), (1, "succeeded", b"result".to_vec()));
 }
 
 #[test]
@@ -220,7 +220,7 @@
     });
     let mut router = Router::connect(place.server);
     for stream in 1..50 {
-        served(&mut router, &mut kernel, stream, &format!("{stream:016x}"));
+        succeeds(&mut router, &mut kernel, stream, &format!("{stream:016x}"));
     }
     sender.join().expect("it was held up");
 }
@@ -230,14 +230,14 @@
 fn a_router_that_only_stops_writing_still_gets_its_answers() {
     let (place, mut kernel) = up(|_| {});
     let mut router = Router::connect(place.server);
-    router.0.send(request(1, ONE, "lookup", b"ask"));
+    router.0.send(invocation(1, ONE, "lookup", b"ask"));
     router.0.close_writing();
     kernel.expect("SCHED", ONE);
     kernel.tell("REAP", ONE, "OK", b"result");
-    assert_eq!(router.answer(), (1, "served", b"result".to_vec()));
+    assert_eq!(router.answer(), (1, "succeeded", b"result".to_vec()));
     assert!(router.0.ended());
     let mut router = Router::connect(place.server);
-    router.0.send(request(1, TWO, "lookup", b"ask"));
+    router.0.send(invocation(1, TWO, "lookup", b"ask"));
     kernel.expect("SCHED", TWO);
     router.0.send(frame(8, 1, b""));
     kernel.expect("PREEMPT", TWO);
@@ -248,7 +248,7 @@
 fn idle_connections_go_at_the_word_of_the_module() {
     let (place, mut kernel) = up(|_| {});
     let mut busy = Router::connect(place.server);
-    busy.0.send(request(1, ONE, "lookup", b"ask"));
+    busy.0.send(invocation(1, ONE, "lookup", b"ask"));
     kernel.expect("SCHED", ONE);
     let mut idle = Router::connect(place.server);
     idle.0.send(frame(16, 1, &[0]));
@@ -257,32 +257,32 @@
     let answers = std::thread::spawn(move || {
         assert_eq!(idle.frame().kind, 64);
         // What crossed that word is answered all the same.
-        idle.0.send(request(2, TWO, "lookup", b"late"));
-        assert_eq!(idle.answer(), (2, "served", b"crossed".to_vec()));
+        idle.0.send(invocation(2, TWO, "lookup", b"late"));
+        assert_eq!(idle.answer(), (2, "succeeded", b"crossed".to_vec()));
         assert!(idle.0.ended());
     });
     kernel.expect("SCHED", TWO); // until then the gauges are told
     kernel.tell("REAP", TWO, "OK", b"crossed");
     answers.join().expect("told, then closed");
     kernel.tell("REAP", ONE, "OK", b"result");
-    assert_eq!(busy.answer(), (1, "served", b"result".to_vec()));
+    assert_eq!(busy.answer(), (1, "succeeded", b"result".to_vec()));
 }
 
 #[test]
 fn an_idle_connection_to_the_ledger_is_closed_from_here() {
     let (place, mut kernel) = up(|_| {});
     let mut router = Router::connect(place.server);
-    router.0.send(request(1, ONE, "report", b"ask"));
+    router.0.send(invocation(1, ONE, "report", b"ask"));
     let listener = place.ledger.try_clone().expect("a listener");
     let calls = std::thread::spawn(move || {
         for (stream, txn) in [(1, ONE), (2, TWO)] {
             let mut ledger = Ledger::accept(&listener);
             assert_eq!(ledger.hear().expect("a call").0[1], txn);
             ledger.posted(txn, b"noted");
-            assert_eq!(router.answer(), (stream, "served", b"result".to_vec()));
+            assert_eq!(router.answer(), (stream, "succeeded", b"result".to_vec()));
             if txn == ONE {
                 assert!(ledger.0.ended());
-                router.0.send(request(2, TWO, "report", b"ask")); // its call gets a new connection
+                router.0.send(invocation(2, TWO, "report", b"ask")); // its call gets a new connection
             }
         }
     });
@@ -305,7 +305,7 @@
     for _ in 0..3 {
         report(&mut good, "204 No Content").expect("reports on one connection");
     }
-    served(&mut Router::connect(place.server), &mut kernel, 1, ONE);
+    succeeds(&mut Router::connect(place.server), &mut kernel, 1, ONE);
     drop(silent);
 }
 
@@ -315,22 +315,22 @@
     let server = place.server;
     let waiting = std::thread::spawn(move || {
         let mut slow = Router::connect(server);
-        slow.0.send(&request(1, ONE, "lookup", b"ask")[..30]);
+        slow.0.send(&invocation(1, ONE, "lookup", b"ask")[..30]);
         assert!(slow.0.ended());
         let mut good = Router::connect(server);
-        good.0.send(request(1, TWO, "lookup", b"ask"));
+        good.0.send(invocation(1, TWO, "lookup", b"ask"));
         good.answer()
     });
     kernel.expect("SCHED", TWO);
     kernel.tell("REAP", TWO, "OK", b"result");
-    assert_eq!(waiting.join().expect("an end"), (1, "served", b"result".to_vec()));
+    assert_eq!(waiting.join().expect("an end"), (1, "succeeded", b"result".to_vec()));
 }
 
 #[test]
 fn after_the_notice_all_is_answered_and_it_ends_by_itself() {
     let (mut place, mut kernel) = up(|all| all["stop_ms"] = json!(60_000));
     let mut router = Router::connect(place.server);
-    router.0.send(request(1, ONE, "lookup", b"ask"));
+    router.0.send(invocation(1, ONE, "lookup", b"ask"));
     kernel.expect("SCHED", ONE);
     place.signal("TERM");
     place.logged("draining");
@@ -340,7 +340,7 @@
     assert_eq!(router.frame().payload[0], 69, "checks tell of it");
     // It goes on for as long as an answer is owed, far past the grace; then it closes what idles, and ends.
     kernel.tell("REAP", ONE, "OK", b"result");
-    assert_eq!(router.answer(), (1, "served", b"result".to_vec()));
+    assert_eq!(router.answer(), (1, "succeeded", b"result".to_vec()));
     assert_eq!(router.frame().kind, 64);
     router.0.close();
     assert!(place.exit().success());
