--- a/examples/src/lib.rs
+++ b/examples/src/lib.rs
@@ -265,6 +265,7 @@
     process: Child,
     log: Receiver<String>,
     config: PathBuf,
+    all: Value,
 }
 
 fn listener() -> TcpListener {
@@ -298,7 +299,7 @@
             }
         });
         let server = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut place = Place { kernel, ledger, roster, server, process, log, config };
+        let mut place = Place { kernel, ledger, roster, server, process, log, config, all };
         let line = place.logged("listens on ");
         let address = line.rsplit(' ').next().expect("an address");
         place.server = address.parse().expect("an address");
@@ -315,6 +316,19 @@
             }
         }
     }
+    /// Replaces the configuration, as an operator would; returns the listeners of the parties' new addresses.
+    pub fn moves(&mut self) -> [TcpListener; 3] {
+        let new = [listener(), listener(), listener()];
+        for (listener, key) in new.iter().zip(["kernel", "ledger", "roster"]) {
+            self.all[key] = json!(listener.local_addr().expect("an address").to_string());
+        }
+        self.configure(&self.all.to_string());
+        new
+    }
+    pub fn configure(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("to write the configuration");
+        self.signal("HUP");
+    }
     pub fn signal(&self, name: &str) {
         let id = self.process.id().to_string();
         let sent = Command::new("kill").args(["-s", name, &id]).status();
--- a/server/src/config.rs
+++ b/server/src/config.rs
@@ -3,7 +3,9 @@
 use cypresscleat::api::*;
 use cypresscleat_settings::{self as settings, Names};
 use serde_json::Value;
+use std::cell::Cell;
 use std::net::{SocketAddr, ToSocketAddrs};
+use tokio::sync::Notify;
 
 const MEMORY_MB: u64 = 192;
 const SOCKETS: u64 = 1024;
@@ -23,6 +25,38 @@
     pub names: Names,
 }
 
+/// Where the other parties are now: what a new reading of the configuration changes while the program runs.
+pub struct Addresses {
+    pub kernel: Cell<SocketAddr>,
+    pub roster: Cell<Option<SocketAddr>>,
+    pub ledger: Cell<Option<SocketAddr>>,
+    pub kernel_moved: Notify,
+    pub roster_moved: Notify,
+}
+
+impl Addresses {
+    pub fn new(config: &Config) -> Addresses {
+        Addresses {
+            kernel: Cell::new(config.kernel),
+            roster: Cell::new(config.roster),
+            ledger: Cell::new(config.ledger),
+            kernel_moved: Notify::new(),
+            roster_moved: Notify::new(),
+        }
+    }
+
+    /// Takes over the addresses of `config`; the tasks that hold links are told of those that differ.
+    pub fn follow(&self, config: &Config) {
+        if self.kernel.replace(config.kernel) != config.kernel {
+            self.kernel_moved.notify_one();
+        }
+        if self.roster.replace(config.roster) != config.roster {
+            self.roster_moved.notify_one();
+        }
+        self.ledger.set(config.ledger);
+    }
+}
+
 /// Reads what the environment names.
 pub fn read() -> Result<Config, String> {
     let var = |name: &str| std::env::var(name).ok().filter(|value| !value.is_empty());
--- a/server/src/counters.rs
+++ b/server/src/counters.rs
@@ -49,6 +49,7 @@
     calls_abandoned: "calls given up from here",
     reports: "reports the roster took",
     reports_lost: "reports that were not answered as due",
+    reloads: "configurations taken over on SIGHUP",
     clock_late_ms: "the latest the module's timer ever came, in milliseconds",
 }
 
--- a/server/src/kernel.rs
+++ b/server/src/kernel.rs
@@ -1,5 +1,6 @@
 //! The link to the kernel: keeps it up, numbers the notices, passes them on in order.
 
+use crate::config::Addresses;
 use crate::core::{Note, Shared};
 use crate::counters::add;
 use crate::lines::{self, Notice};
@@ -21,10 +22,11 @@
 /// that were missed.
 const SYNC: &str = "sync";
 
-pub async fn link(address: SocketAddr, shared: Shared, queue: Sender<Note>) {
-    let mut link = Link { shared, queue, serial: 0, gap: 0 };
+pub async fn link(at: Rc<Addresses>, shared: Shared, queue: Sender<Note>) {
+    let mut link = Link { at: at.clone(), shared, queue, serial: 0, gap: 0, up: false };
     let mut reached = true;
     loop {
+        let address = at.kernel.get();
         let connected = timeout(CONNECT, TcpStream::connect(address)).await;
         let stream = match connected.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
             Ok(stream) => stream,
@@ -39,7 +41,7 @@
         reached = true;
         let _ = stream.set_nodelay(true);
         add(&link.shared.counters.kernel_links);
-        let why = match link.carry(&stream).await {
+        let why = match link.carry(&stream, address).await {
             Ok(()) => return,
             Err(error) => error,
         };
@@ -47,17 +49,23 @@
         if link.queue.send(Note::KernelDown).await.is_err() {
             return;
         }
-        tokio::time::sleep(AGAIN).await;
+        // One that was up is made anew at once: until then nothing is run.
+        if !std::mem::take(&mut link.up) {
+            tokio::time::sleep(AGAIN).await;
+        }
     }
 }
 
 struct Link {
+    at: Rc<Addresses>,
     shared: Shared,
     queue: Sender<Note>,
     /// The last notice that was read.
     serial: u64,
     /// A gap after this notice was asked for once already.
     gap: u64,
+    /// The present link has told that the kernel is up.
+    up: bool,
 }
 
 fn broken(what: impl Into<String>) -> io::Error {
@@ -66,18 +74,23 @@
 
 impl Link {
     /// Ends with an error when the link does, without one when the core is gone.
-    async fn carry(&mut self, stream: &TcpStream) -> io::Result<()> {
+    async fn carry(&mut self, stream: &TcpStream, address: SocketAddr) -> io::Result<()> {
         let out = Rc::new(Outbox::new(&self.shared.pool));
         out.push(lines::open(self.serial).as_bytes());
         let mut buf = self.shared.pool.take();
-        let (mut skips, mut up) = (false, false);
+        let mut skips = false;
         let mut heard = Instant::now();
         loop {
             out.flush(|bytes| stream.try_write(bytes))?;
             tokio::select! {
                 () = out.wake.notified() => continue,
+                // Its runs and the numbers of its notices go on at the new address.
+                () = self.at.kernel_moved.notified() => match self.at.kernel.get() {
+                    now if now != address => return Err(broken("it has moved")),
+                    _ => continue,
+                },
                 ready = stream.writable(), if !out.is_empty() => { ready?; continue }
-                () = sleep_until(heard + SILENT), if up => return Err(ErrorKind::TimedOut.into()),
+                () = sleep_until(heard + SILENT), if self.up => return Err(ErrorKind::TimedOut.into()),
                 ready = stream.readable() => ready?,
             }
             match stream.try_read(buf.spare()) {
@@ -94,7 +107,7 @@
                 let Some(notice) = told else { continue };
                 if matches!(notice, Notice::Booted { .. }) {
                     out.push(lines::sysinfo(SYNC).as_bytes());
-                    up = true;
+                    self.up = true;
                 }
                 let synced = matches!(&notice, Notice::Info { cookie, .. } if cookie == SYNC);
                 let _ = self.queue.send(Note::Kernel(notice)).await;
--- a/server/src/ledger.rs
+++ b/server/src/ledger.rs
@@ -1,5 +1,6 @@
 //! The link to the ledger: posts calls on one connection, tells how each ended and whether it ran.
 
+use crate::config::Addresses;
 use crate::core::{Command, Note, Shared};
 use crate::counters::add;
 use crate::frames::Txn;
@@ -23,6 +24,7 @@
 
 /// One connection and the calls on it, each with its number and where its text begins in the outbox.
 struct Line {
+    address: SocketAddr,
     out: Outbox,
     calls: RefCell<HashMap<Txn, (u64, u64)>>,
     /// Takes no new call.
@@ -30,7 +32,7 @@
 }
 
 /// Carries out the core's commands. Without an address every call ends as one that found nobody.
-pub async fn link(address: Option<SocketAddr>, shared: Shared, queue: Sender<Note>) {
+pub async fn link(at: Rc<Addresses>, shared: Shared, queue: Sender<Note>) {
     let mut lines: Vec<Rc<Line>> = Vec::new();
     loop {
         shared.ledger.wake.notified().await;
@@ -39,17 +41,22 @@
             lines.retain(|line| !line.retired.get() || !line.calls.borrow().is_empty());
             match command {
                 Command::Post { txn, number, text } => {
-                    let Some(address) = address else {
+                    let Some(address) = at.ledger.get() else {
                         let how = Outcome::NoConnection;
                         let _ = queue.send(Note::Called { txn, number, how, reply: None }).await;
                         continue;
                     };
+                    // Where the ledger has moved, the old connections end with the calls that are on them.
+                    for line in lines.iter().filter(|line| line.address != address) {
+                        line.retired.set(true);
+                        line.out.wake.notify_one();
+                    }
                     let usable = lines.iter().find(|line| !line.retired.get()).cloned();
                     let line = usable.unwrap_or_else(|| {
                         let (calls, retired) = (RefCell::default(), Cell::new(false));
-                        let line = Rc::new(Line { out: Outbox::new(&shared.pool), calls, retired });
+                        let line = Rc::new(Line { address, out: Outbox::new(&shared.pool), calls, retired });
                         lines.push(line.clone());
-                        tokio::task::spawn_local(run(line.clone(), address, shared.clone(), queue.clone()));
+                        tokio::task::spawn_local(run(line.clone(), shared.clone(), queue.clone()));
                         line
                     });
                     line.calls.borrow_mut().insert(txn, (number, line.out.end()));
@@ -68,8 +75,8 @@
 }
 
 /// One connection from its start to its end, where each call still on it gets its outcome.
-async fn run(line: Rc<Line>, address: SocketAddr, shared: Shared, queue: Sender<Note>) {
-    let connected = match timeout(CONNECT, TcpStream::connect(address)).await {
+async fn run(line: Rc<Line>, shared: Shared, queue: Sender<Note>) {
+    let connected = match timeout(CONNECT, TcpStream::connect(line.address)).await {
         Ok(connected) => connected,
         Err(_) => Err(ErrorKind::TimedOut.into()),
     };
--- a/server/src/main.rs
+++ b/server/src/main.rs
@@ -2,8 +2,9 @@
 
 use cypresscleat::api::Time;
 use cypresscleat_server::clock::{unix, Clock};
-use cypresscleat_server::config::{self, Config};
+use cypresscleat_server::config::{self, Addresses, Config};
 use cypresscleat_server::core::{Core, Note, Shared};
+use cypresscleat_server::counters::add;
 use cypresscleat_server::front::Front;
 use cypresscleat_server::{kernel, ledger, log, pool, roster};
 use std::io;
@@ -11,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::{channel, Receiver};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep_until, Instant};
@@ -29,17 +30,10 @@
 const LOOK: Time = 10_000;
 
 fn main() -> ExitCode {
-    let config = match config::read() {
-        Ok(config) => config,
-        Err(what) => {
-            log!("{what}");
-            return ExitCode::from(2);
-        }
-    };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ended = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, serve(config)));
+    let ended = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, start()));
     match ended {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(error) => {
             log!("{error}");
             ExitCode::FAILURE
@@ -47,6 +41,18 @@
     }
 }
 
+/// The signal to read the configuration again ends the program unless it is listened for: first of all.
+async fn start() -> io::Result<ExitCode> {
+    let hup = signal(SignalKind::hangup())?;
+    match config::read() {
+        Ok(config) => serve(config, hup).await.map(|()| ExitCode::SUCCESS),
+        Err(what) => {
+            log!("{what}");
+            Ok(ExitCode::from(2))
+        }
+    }
+}
+
 fn listen(config: &Config) -> io::Result<TcpListener> {
     let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
@@ -54,7 +60,7 @@
     socket.listen(BACKLOG)
 }
 
-async fn serve(config: Config) -> io::Result<()> {
+async fn serve(config: Config, mut hup: Signal) -> io::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut usr1 = signal(SignalKind::user_defined1())?;
     let listener = listen(&config)
@@ -66,11 +72,10 @@
     let front = Front::new(&shared, queue.clone(), clock, config.sockets - KEPT_BACK);
     let accepting = spawn_local(front.clone().accept(listener));
     spawn_local(front.clone().sweep());
-    let mut kernel = spawn_local(kernel::link(config.kernel, shared.clone(), queue.clone()));
-    let mut ledger = spawn_local(ledger::link(config.ledger, shared.clone(), queue.clone()));
-    if let Some(address) = config.roster {
-        spawn_local(roster::report(address, config.name.clone(), shared.clone()));
-    }
+    let addresses = Rc::new(Addresses::new(&config));
+    let mut kernel = spawn_local(kernel::link(addresses.clone(), shared.clone(), queue.clone()));
+    let mut ledger = spawn_local(ledger::link(addresses.clone(), shared.clone(), queue.clone()));
+    spawn_local(roster::report(addresses.clone(), config.name.clone(), shared.clone()));
     let core = Core::new(config.settings, config.names, &shared);
     let mut core = spawn_local(run(core, notes, clock, front));
     let mut stops: Option<Instant> = None;
@@ -78,6 +83,16 @@
         let end = stops.unwrap_or_else(|| Instant::now() + IDLE);
         tokio::select! {
             _ = usr1.recv() => log!("{}", shared.counters.line()),
+            // A fault in the new text changes nothing: what is open goes on as it is.
+            _ = hup.recv() => match config::read() {
+                Ok(config) => {
+                    add(&shared.counters.reloads);
+                    addresses.follow(&config);
+                    let Config { kernel, ledger, roster, .. } = config;
+                    log!("configuration read again: kernel {kernel} ledger {ledger:?} roster {roster:?}");
+                }
+                Err(what) => log!("not taken over: {what}"),
+            },
             _ = term.recv(), if stops.is_none() => {
                 // Stopped from outside by then, or later by itself: to go just before could lose what is being
                 // written.
--- a/server/src/roster.rs
+++ b/server/src/roster.rs
@@ -1,11 +1,13 @@
 //! Reports to the roster: one short of a second apart, on a connection of its own that delays nothing else.
 
+use crate::config::Addresses;
 use crate::core::Shared;
 use crate::counters::add;
 use crate::http;
 use crate::log;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -15,10 +17,18 @@
 const AGAIN: Duration = Duration::from_millis(100);
 const ANSWER: Duration = Duration::from_millis(700);
 
-pub async fn report(address: SocketAddr, name: String, shared: Shared) {
+pub async fn report(at: Rc<Addresses>, name: String, shared: Shared) {
     let mut stream: Option<TcpStream> = None;
     let mut heard = true;
+    let mut told = None;
     loop {
+        let Some(address) = at.roster.get() else {
+            at.roster_moved.notified().await;
+            continue;
+        };
+        if told.replace(address) != Some(address) {
+            stream = None; // it has moved: nothing more is sent where it was
+        }
         let text = http::report(&address.to_string(), &name, shared.voice.on.get());
         match timeout(ANSWER, tell(stream.take(), address, text.as_bytes())).await {
             Ok(Ok(kept)) => {
@@ -27,7 +37,7 @@
                     log!("the roster answers again");
                 }
                 stream = kept;
-                sleep(EVERY).await;
+                let _ = timeout(EVERY, at.roster_moved.notified()).await;
             }
             lost => {
                 add(&shared.counters.reports_lost);
--- a/server/tests/sockets.rs
+++ b/server/tests/sockets.rs
@@ -82,6 +82,45 @@
     succeeds(&mut router, &mut kernel, 1, ONE);
 }
 
+/// Guards against an end on SIGHUP, and against a party that has moved but is still spoken to where it was.
+#[test]
+fn a_new_configuration_moves_the_links_and_loses_nothing() {
+    let (mut place, mut kernel) = up(|_| {});
+    let mut router = Router::connect(place.server);
+    for (stream, txn) in [(1, ONE), (2, TWO)] {
+        router.0.send(invocation(stream, txn, "report", b"ask"));
+        kernel.expect("SCHED", txn);
+    }
+    kernel.tell("IOREQ", ONE, "", b"put");
+    let mut ledger = Ledger::accept(&place.ledger);
+    assert_eq!(ledger.hear().expect("a call").0[1], ONE);
+    place.configure("{\"kernel\": 7}");
+    place.logged("not taken over: ");
+    let [kernels, ledgers, rosters] = place.moves();
+    let (mut moved, serial) = Kernel::accept(&kernels);
+    assert_eq!(serial, 1, "runs and numbers go on");
+    moved.boot("WARM");
+    report(&mut Link::new(rosters.accept().expect("a report").0), "204 No Content").expect("a report");
+    moved.tell("IOREQ", TWO, "", b"put");
+    let heard = std::thread::spawn(move || {
+        let mut new = Ledger::accept(&ledgers);
+        assert_eq!(new.hear().expect("a call").0[1], TWO, "new calls go where the ledger is now");
+        ledger.posted(ONE, b"noted"); // the one made before ends where it is
+        assert!(ledger.0.ended(), "and then its connection");
+        new.posted(TWO, b"noted");
+    });
+    for txn in [ONE, TWO] {
+        assert_eq!(moved.expect("IODONE", txn), b"noted");
+        moved.tell("REAP", txn, "OK", b"result");
+    }
+    heard.join().expect("both calls");
+    assert_eq!(router.answer(), (1, "succeeded", b"result".to_vec()));
+    assert_eq!(router.answer(), (2, "succeeded", b"result".to_vec()));
+    assert!(kernel.link.ended());
+    place.signal("USR1");
+    assert!(place.logged("connections 1,").contains("reloads 1, "));
+}
+
 #[test]
 fn a_broken_link_to_the_kernel_loses_nothing() {
     let (place, mut kernel) = up(|_| {});
