--- a/server/src/core.rs
+++ b/server/src/core.rs
@@ -13,11 +13,14 @@
 use cypresscleat_settings::{set_gauge, Names};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use tokio::sync::Notify;
 
 /// Invocations a connection may have open.
 const STREAMS: usize = 32;
+/// Invocations of one connection that can't be carried out, with no success between, before it is ended.
+const STRIKES: u32 = 3;
 /// The module's timer waits this long for the gauges asked for when it came due, and then goes on with the last
 /// ones, or, where these are older than that, without.
 const GAUGES_WAIT: Time = 3 * MS;
@@ -42,6 +45,14 @@
     pub active_at: Cell<Time>,
     /// It was told to send no new invocation.
     pub told: Cell<Option<Time>>,
+    /// A whole frame has come on it.
+    pub spoke: Cell<bool>,
+    /// It broke the protocol: nothing more is read, and it ends once all that is open on it is answered.
+    pub shut: Cell<bool>,
+    /// Invocations that could not be carried out since the last success.
+    strikes: Cell<u32>,
+    /// The last that was turned away here.
+    refused: Cell<Option<Txn>>,
     pub gone: Cell<bool>,
 }
 
@@ -54,9 +65,44 @@
             queued: Cell::new(0),
             active_at: Cell::new(now),
             told: Cell::new(None),
+            spoke: Cell::new(false),
+            shut: Cell::new(false),
+            strikes: Cell::new(0),
+            refused: Cell::new(None),
             gone: Cell::new(false),
         }
     }
+    /// It is to send no new invocation.
+    pub fn tell(&self, now: Time) {
+        if self.told.replace(self.told.get().or(Some(now))).is_none() {
+            let mut frame = Vec::new();
+            frames::frame(&mut frame, frames::NO_MORE, 0, b"");
+            self.out.push(&frame);
+        }
+    }
+    /// Not to be understood: an answer is owed all the same, on stream 0 where it belongs to no invocation.
+    fn malformed(&self, counters: &Counters, stream: u32, what: &str) {
+        add(&counters.malformed);
+        log!("from a router, stream {stream}: {what}");
+        self.out.push(&frames::answer(frames::ANSWER, stream, frames::ERRORED, &[], b""));
+    }
+    /// It broke the protocol. Guards the time and room of all others against peers that would go on for ever: it is
+    /// told so, and read no more. Holds against any sender of nonsense; may hurt where a router has such a fault:
+    /// it has to connect anew.
+    pub fn breach(&self, counters: &Counters, stream: u32, what: &str) {
+        if !self.shut.replace(true) {
+            self.malformed(counters, stream, what);
+        }
+    }
+    /// An invocation that can't be carried out: errored; the connection goes on until there were several.
+    fn strike(&self, counters: &Counters, stream: u32, what: &str) {
+        self.strikes.set(self.strikes.get() + 1);
+        if self.strikes.get() >= STRIKES {
+            self.breach(counters, stream, what);
+        } else {
+            self.malformed(counters, stream, what);
+        }
+    }
     /// Nothing is open on it, nothing on its way.
     pub fn is_idle(&self) -> bool {
         self.queued.get() == 0 && self.open.borrow().is_empty() && self.out.is_empty()
@@ -159,6 +205,7 @@
     op: usize,
     payload: Option<Buf>,
     body: usize,
+    said: u64,
     asked: Asked,
     stopped: bool,
     /// The number of the last command about it.
@@ -177,11 +224,26 @@
 
 struct Answered {
     txn: Txn,
+    said: u64,
     peer: Rc<Peer>,
     until: Time,
     payload: Buf,
 }
 
+/// Whether an invocation's id was seen before: on the same invocation, or on another that is open.
+enum Again {
+    No,
+    Same,
+    Other,
+}
+
+/// What makes two invocations of one id the same.
+fn said(op: usize, body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (op, body).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// All but the `Brain`: what its `Host` needs.
 struct Side {
     names: Names,
@@ -357,37 +419,48 @@
     fn arrived(&mut self, unix: Time, peer: Rc<Peer>, stream: u32, payload: Buf) {
         let side = &mut self.side;
         peer.queued.set(peer.queued.get().saturating_sub(1));
-        if peer.gone.get() {
+        if peer.gone.get() || peer.shut.get() {
             return;
         }
+        let counters = side.counters.clone();
         // Streams count up: on one that was used before, an answer could be taken for that to another invocation.
         if stream <= peer.last.replace(stream.max(peer.last.get())) {
-            return side.malformed(&peer, 0, &format!("stream {stream} was used before"));
+            return peer.breach(&counters, 0, &format!("stream {stream} was used before"));
         }
         if peer.open.borrow().len() >= STREAMS {
-            return side.malformed(&peer, stream, "more streams than may be open");
+            return peer.breach(&counters, stream, "more streams than may be open");
         }
         let read = match frames::invocation(&payload) {
             Ok(read) => read,
-            Err(what) => return side.malformed(&peer, stream, &what),
+            Err(what) => return peer.strike(&counters, stream, &what),
         };
         let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
         let Some(op) = place(&side.names.operations, read.operation) else {
-            return side.malformed(&peer, stream, &format!("verb {:?}", read.operation));
+            return peer.strike(&counters, stream, &format!("verb {:?}", read.operation));
         };
         let customer = match read.customer {
             Some(name) if !side.names.customers.is_empty() => match place(&side.names.customers, name) {
-                None => return side.malformed(&peer, stream, &format!("team {name:?}")),
+                None => return peer.strike(&counters, stream, &format!("team {name:?}")),
                 known => known,
             },
             _ => None,
         };
         let txn = read.txn;
-        if side.came_again(txn, &peer, stream) {
-            return;
+        // Ids are new with every try: whoever sends one again that was turned away heeds nothing.
+        if peer.refused.get() == Some(txn) {
+            return peer.breach(&counters, stream, "an id that was turned away");
+        }
+        let said = said(op, read.body);
+        match side.came_again(txn, said, &peer, stream) {
+            Again::No => {}
+            Again::Same => return,
+            Again::Other => {
+                peer.breach(&counters, stream, "the id of another invocation");
+                return self.withdraw(&peer);
+            }
         }
         let Some(brain) = self.brain.as_mut() else {
-            return side.malformed(&peer, stream, "an invocation before the kernel is up");
+            return peer.malformed(&counters, stream, "an invocation before the kernel is up");
         };
         add(&side.counters.invocations);
         let (keyed, body) = (read.keyed, payload.len() - read.body.len());
@@ -407,6 +480,7 @@
             op,
             payload: Some(payload),
             body,
+            said,
             asked: Asked::Nothing,
             stopped: false,
             command: 0,
@@ -423,6 +497,16 @@
         self.module(|brain, now, side| brain.caller_left(now, inv, side));
     }
 
+    /// All that is open on a connection is errored. Guards the line and the run cap against a sender whose other
+    /// invocations can't be carried out either.
+    fn withdraw(&mut self, peer: &Rc<Peer>) {
+        let open: Vec<Inv> = peer.open.borrow().iter().map(|(_, inv)| *inv).collect();
+        for inv in open {
+            self.side.answer(inv, frames::ERRORED, &[], b"");
+            self.module(|brain, now, side| brain.caller_left(now, inv, side));
+        }
+    }
+
     // ---- the kernel ----
 
     fn notice(&mut self, notice: Notice) {
@@ -457,7 +541,13 @@
                 let ends = matches!(command.as_str(), "SCHED" | "IODONE");
                 if let (true, Some(inv)) = (ends, self.side.find(&call)) {
                     let empty = self.side.pool.take();
+                    let from = self.side.rec(inv).to.clone();
                     self.reaped(inv, Outcome::Errored, empty);
+                    // The kernel knows every invocation that a router sent here: this sender is none.
+                    if let (Some((peer, _)), "SCHED") = (from, command.as_str()) {
+                        peer.breach(&self.side.counters, 0, "an invocation that the kernel doesn't know");
+                        self.withdraw(&peer);
+                    }
                 }
             }
             Notice::Remark(_) => {}
@@ -478,10 +568,13 @@
 
     /// The run is over: the first answer to its invocation, if none was given, is how it ended.
     fn reaped(&mut self, inv: Inv, how: Outcome, blob: Buf) {
-        let counters = &self.side.counters;
+        let counters = self.side.counters.clone();
         match how {
             Outcome::Succeeded => {
                 add(&counters.runs_succeeded);
+                if let Some((peer, _)) = &self.side.rec(inv).to {
+                    peer.strikes.set(0);
+                }
                 self.side.answer(inv, frames::SUCCEEDED, &[], &blob);
             }
             Outcome::Errored => {
@@ -561,6 +654,9 @@
     /// The final answer, if it is still owed.
     fn answer(&mut self, inv: Inv, code: u8, fields: &[(&str, &str)], body: &[u8]) {
         let Some((peer, stream)) = self.settle(inv) else { return };
+        if code == frames::THROTTLED {
+            peer.refused.set(Some(self.rec(inv).txn));
+        }
         let counters = &self.counters;
         add(match code {
             frames::SUCCEEDED => &counters.succeeded,
@@ -577,8 +673,9 @@
         if peer.gone.get() || peer.told.get().is_some() {
             let mut payload = self.pool.take();
             payload.push(&frame[9..]);
-            let (txn, until) = (self.rec(inv).txn, self.now + RESENT_WITHIN);
-            self.answered.push_back(Answered { txn, peer, until, payload });
+            let Open { txn, said, .. } = *self.rec(inv);
+            let until = self.now + RESENT_WITHIN;
+            self.answered.push_back(Answered { txn, said, peer, until, payload });
             if self.answered.len() > RESENT_MOST {
                 self.answered.pop_front();
             }
@@ -586,18 +683,27 @@
     }
 
     /// Guards against an invocation that crossed the close of its connection and was sent once more: under an id
-    /// that is open or answered it is the same invocation. It is not run again; its answer goes where it
-    /// came from last, at most once on a connection.
-    fn came_again(&mut self, txn: Txn, peer: &Rc<Peer>, stream: u32) -> bool {
+    /// that is open or answered it is the same invocation, if it says the same and its first connection was
+    /// closing. It is not run again; its answer goes where it came from last, at most once on a connection. Nobody
+    /// else gets an answer by naming its id.
+    fn came_again(&mut self, txn: Txn, said: u64, peer: &Rc<Peer>, stream: u32) -> Again {
         if let Some(inv) = self.index.get(&txn).copied() {
+            let rec = self.rec(inv);
+            let closing = |peer: &Peer| peer.gone.get() || peer.told.get().is_some();
+            if rec.said != said || rec.to.as_ref().is_some_and(|(first, _)| !closing(first)) {
+                return Again::Other;
+            }
             add(&self.counters.resent);
             self.settle(inv);
             self.owe(inv, peer.clone(), stream);
-            return true;
+            return Again::Same;
         }
         let Some(before) = self.answered.iter_mut().find(|answered| answered.txn == txn) else {
-            return false;
+            return Again::No;
         };
+        if before.said != said {
+            return Again::Other;
+        }
         add(&self.counters.resent);
         if !Rc::ptr_eq(&before.peer, peer) {
             let mut frame = Vec::new();
@@ -605,14 +711,7 @@
             peer.out.push(&frame);
             before.peer = peer.clone();
         }
-        true
-    }
-
-    /// Not to be understood: an answer is owed all the same, on stream 0 where it belongs to no invocation.
-    fn malformed(&mut self, peer: &Peer, stream: u32, what: &str) {
-        add(&self.counters.malformed);
-        log!("from a router, stream {stream}: {what}");
-        peer.out.push(&frames::answer(frames::ANSWER, stream, frames::ERRORED, &[], b""));
+        Again::Same
     }
 
     // ---- commands to the kernel ----
--- a/server/src/front.rs
+++ b/server/src/front.rs
@@ -15,16 +15,23 @@
 use tokio::sync::{mpsc::Sender, Notify};
 
 /// Nothing more is read from a connection while more than this waits to be written to it.
-const BEHIND: usize = 16 * SIZE;
-/// A frame half sent, or an outbox of which nothing is read, for longer than this ends its connection.
+const BEHIND: usize = 4 * SIZE;
+/// An outbox of which nothing is read for longer than this ends its connection.
 const STUCK: Time = 15_000 * MS;
+/// A connection on which no whole frame has come after this long, or half a frame stands for this long, is ended.
+const SILENT: Time = 2_000 * MS;
+/// Idle connections are closed while more than this part of all that may be held are open: routers take no more.
+const ROUTERS: usize = 2;
 /// A connection told to take no new invocation is closed from here after this long without one.
 const TOLD: Time = 1_000 * MS;
+/// A new connection may be silent this long before it is the first to go at the limit of descriptors.
+const NEW: Time = 100 * MS;
 const SWEEP: Duration = Duration::from_millis(50);
 const NO_ROOM: Duration = Duration::from_millis(5);
 
 struct Conn {
     peer: Rc<Peer>,
+    since: Time,
     /// The connection is to end: once nothing is open on it, or at once.
     close: Cell<bool>,
     kill: Cell<bool>,
@@ -53,12 +60,14 @@
 
     pub async fn accept(self: Rc<Front>, listener: TcpListener) {
         loop {
-            while self.connections() >= self.most {
-                self.make_room();
-                let _ = tokio::time::timeout(SWEEP, self.left.notified()).await;
-            }
             match listener.accept().await {
-                Ok((stream, _)) => self.serve(stream),
+                Ok((stream, _)) => {
+                    while self.connections() >= self.most {
+                        self.make_room();
+                        let _ = tokio::time::timeout(SWEEP, self.left.notified()).await;
+                    }
+                    self.serve(stream);
+                }
                 Err(error) => {
                     log!("accept: {error}");
                     tokio::time::sleep(NO_ROOM).await;
@@ -67,26 +76,21 @@
         }
     }
 
-    /// Guards the descriptors: at their limit the connection that idles longest goes, never one with an open
-    /// invocation. May hurt where routers come back at once.
+    /// Guards the descriptors: at their limit a new connection takes the place of one that was silent from the
+    /// start, or else of the one that idles longest, never of one with an open invocation. Those just come or just
+    /// used stay longest. May hurt where routers come back at once.
     fn make_room(&self) {
-        let conns = self.conns.borrow();
+        let (now, conns) = (self.clock.now(), self.conns.borrow());
+        let order = |conn: &&Rc<Conn>| {
+            let (spoke, since) = (conn.peer.spoke.get(), conn.peer.active_at.get());
+            let new = now - since < if spoke { TOLD } else { NEW };
+            (new, spoke, since)
+        };
         let idle = conns.iter().filter(|conn| conn.peer.is_idle() && !conn.close.get());
-        if let Some(conn) = idle.min_by_key(|conn| conn.peer.active_at.get()) {
-            self.tell(conn);
-            conn.close.set(true);
-            add(&self.shared.counters.idle_closed);
-        }
-    }
-
-    /// No new invocation on this connection.
-    fn tell(&self, conn: &Conn) {
-        if conn.peer.told.get().is_none() {
-            conn.peer.told.set(Some(self.clock.now()));
-            let mut frame = Vec::new();
-            frames::frame(&mut frame, frames::NO_MORE, 0, b"");
-            conn.peer.out.push(&frame);
-        }
+        let Some(conn) = idle.min_by_key(order) else { return };
+        add(&self.shared.counters.idle_closed);
+        conn.peer.tell(now);
+        conn.close.set(true);
     }
 
     /// Looks at all connections from time to time: those that idle, half-sent frames, peers that never read.
@@ -95,28 +99,48 @@
             tokio::time::sleep(SWEEP).await;
             let now = self.clock.now();
             let most = if self.shared.voice.closing.get() { Some(0) } else { self.shared.voice.idle.get() };
-            for conn in self.conns.borrow().iter() {
+            let conns = self.conns.borrow();
+            // Guards the room of routers against others that ask once and stay: the longest idle go first.
+            let crowd = conns.len().saturating_sub(self.most / ROUTERS);
+            let mut idle: Vec<&Rc<Conn>> = Vec::new();
+            if crowd > 0 {
+                let idles = |peer: &Peer| peer.is_idle() && peer.spoke.get() && peer.told.get().is_none();
+                idle.extend(conns.iter().filter(|conn| idles(&conn.peer)));
+                idle.sort_by_key(|conn| conn.peer.active_at.get());
+            }
+            for conn in idle.into_iter().take(crowd).filter(|conn| now - conn.peer.active_at.get() > TOLD) {
+                add(&self.shared.counters.idle_closed);
+                conn.peer.tell(now);
+            }
+            for conn in conns.iter() {
                 let peer = &conn.peer;
                 let before = conn.written.get();
                 if peer.out.is_empty() || before.0 != peer.out.written() {
                     conn.written.set((peer.out.written(), now));
                 }
                 let stuck = now - conn.written.get().1 > STUCK;
-                let half = conn.half_since.get().is_some_and(|since| now - since > STUCK);
+                let half = conn.half_since.get().is_some_and(|since| now - since > SILENT);
+                let silent = !peer.spoke.get() && now - conn.since > SILENT && !conn.close.get();
                 let idles = most.is_some_and(|most| now - peer.active_at.get() >= most);
-                if stuck || half {
+                if stuck {
                     add(&self.shared.counters.stuck_closed);
-                    log!("a router {}", if stuck { "reads nothing" } else { "left a frame half sent" });
-                    conn.kill.set(stuck);
-                    conn.close.set(true);
-                    conn.half_since.set(None);
+                    log!("a router reads nothing");
+                    conn.kill.set(true);
                     peer.out.wake.notify_one();
+                } else if half || silent {
+                    add(&self.shared.counters.silent_closed);
+                    conn.half_since.set(None);
+                    peer.breach(
+                        &self.shared.counters,
+                        0,
+                        if half { "a frame half sent" } else { "nothing was sent" },
+                    );
                 } else if peer.told.get().is_some_and(|at| now - at > TOLD) {
                     conn.close.set(true);
                     peer.out.wake.notify_one();
                 } else if idles && peer.is_idle() && peer.told.get().is_none() {
                     add(&self.shared.counters.idle_closed);
-                    self.tell(conn);
+                    peer.tell(now);
                 }
             }
         }
@@ -128,6 +152,7 @@
         let now = self.clock.now();
         let conn = Rc::new(Conn {
             peer: Rc::new(Peer::new(&self.shared.pool, now)),
+            since: now,
             close: Cell::new(false),
             kill: Cell::new(false),
             half_since: Cell::new(None),
@@ -150,19 +175,19 @@
         });
     }
 
-    /// Reads and writes one connection until it ends. After its end of input, or once it can't be read any
-    /// more and what comes is passed over, what is open on it is still answered.
+    /// Reads and writes one connection until it ends. After its end of input, or once it broke the protocol and
+    /// is read no more, what is open on it is still answered.
     async fn carry(&self, stream: &TcpStream, conn: &Conn) -> io::Result<()> {
         let (peer, pool) = (&conn.peer, &self.shared.pool);
-        let mut reader = Reader { kept: None, skip: 0, ended: false, deaf: false };
+        let mut reader = Reader { kept: None, ended: false };
         loop {
             peer.out.flush(|bytes| stream.try_write(bytes))?;
-            let over = reader.ended || conn.close.get();
+            let over = reader.ended || conn.close.get() || peer.shut.get();
             if conn.kill.get() || over && peer.is_idle() {
                 return Ok(());
             }
             let writes = !peer.out.is_empty();
-            let reads = !reader.ended && peer.out.len() < BEHIND;
+            let reads = !reader.ended && !peer.shut.get() && peer.out.len() < BEHIND;
             let room = reader.kept.is_some() || pool.has_room();
             tokio::select! {
                 () = peer.out.wake.notified() => {}
@@ -174,13 +199,13 @@
                         Ok(0) => reader.ended = true,
                         Ok(many) => {
                             buf.filled(many);
-                            self.frames(conn, &mut reader, &mut buf).await;
+                            self.frames(conn, &mut buf).await;
                         }
                         Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                         Err(error) => return Err(error),
                     }
                     conn.half_since.set(match conn.half_since.get() {
-                        _ if buf.is_empty() && reader.skip == 0 => None,
+                        _ if buf.is_empty() => None,
                         since => since.or(Some(self.clock.now())),
                     });
                     if !buf.is_empty() {
@@ -193,11 +218,10 @@
     }
 
     /// Takes all whole frames from the buffer.
-    async fn frames(&self, conn: &Conn, reader: &mut Reader, buf: &mut Buf) {
+    async fn frames(&self, conn: &Conn, buf: &mut Buf) {
         let peer = &conn.peer;
-        let mut at = reader.skip.min(buf.len());
-        reader.skip -= at;
-        while !reader.deaf {
+        let mut at = 0;
+        while !peer.shut.get() {
             match frames::next(&buf[at..], SIZE) {
                 Next::More => break,
                 Next::Frame { kind, stream, payload, size } => {
@@ -207,18 +231,14 @@
                 }
                 Next::Large { kind, stream, size } => {
                     let stream = if kind == frames::INVOCATION { stream } else { 0 };
-                    self.malformed(peer, stream, &format!("a frame of {size} bytes"));
-                    reader.skip = size - (buf.len() - at);
-                    at = buf.len();
+                    peer.breach(&self.shared.counters, stream, &format!("a frame of {size} bytes"));
                 }
                 Next::Broken { length } => {
-                    self.malformed(peer, 0, &format!("a frame of length {length}"));
-                    self.tell(conn);
-                    reader.deaf = true;
+                    peer.breach(&self.shared.counters, 0, &format!("a frame of length {length}"));
                 }
             }
         }
-        buf.consume(if reader.deaf { buf.len() } else { at });
+        buf.consume(if peer.shut.get() { buf.len() } else { at });
     }
 
     async fn frame(&self, peer: &Rc<Peer>, kind: u8, stream: u32, payload: &[u8]) {
@@ -232,31 +252,27 @@
             }
             frames::LEFT => Note::Left { peer: peer.clone(), stream },
             frames::CHECK => return self.check(peer, stream),
-            _ => return self.malformed(peer, 0, &format!("a frame of type {kind} on stream {stream}")),
+            _ => {
+                let what = format!("a frame of type {kind} on stream {stream}");
+                return peer.breach(&self.shared.counters, 0, &what);
+            }
         };
+        peer.spoke.set(true);
         let _ = self.queue.send(note).await;
     }
 
     /// Health checks are answered here and at once, with what the module said last.
     fn check(&self, peer: &Peer, stream: u32) {
+        peer.spoke.set(true);
         add(&self.shared.counters.checks);
         let voice = &self.shared.voice;
         let code = if voice.good.get() { frames::SUCCEEDED } else { frames::ERRORED };
         let frame = voice.with(&[], |fields| frames::answer(frames::CHECKED, stream, code, fields, b""));
         peer.out.push(&frame);
     }
-
-    fn malformed(&self, peer: &Peer, stream: u32, what: &str) {
-        add(&self.shared.counters.malformed);
-        log!("from a router, stream {stream}: {what}");
-        peer.out.push(&frames::answer(frames::ANSWER, stream, frames::ERRORED, &[], b""));
-    }
 }
 
 struct Reader {
     kept: Option<Buf>,
-    /// Bytes of a large frame still to be passed over.
-    skip: usize,
     ended: bool,
-    deaf: bool,
 }
