--- a/server/src/core.rs
+++ b/server/src/core.rs
@@ -134,16 +134,8 @@
 
 /// What the core wants of the ledger.
 pub enum Command {
-    Post {
-        txn: Txn,
-        number: u64,
-        text: Buf,
-    },
-    /// `late`: its reply may still come, and must not be taken for that of a later call.
-    Abandon {
-        txn: Txn,
-        late: bool,
-    },
+    Post { txn: Txn, number: u64, text: Buf },
+    Abandon { txn: Txn },
 }
 
 #[derive(Default)]
@@ -397,7 +389,7 @@
             self.side.calls.pop_first();
             if self.side.rec(inv).call.is_some_and(|call| call.0 == number) {
                 let txn = self.side.rec(inv).txn;
-                self.side.ledger.push(Command::Abandon { txn, late: true });
+                self.side.ledger.push(Command::Abandon { txn });
                 self.called(inv, Outcome::NoAnswer, None);
             }
         }
@@ -773,7 +765,7 @@
         if let Some((number, _)) = rec.call.take() {
             self.calls.retain(|call| call.1 != number);
             add(&self.counters.calls_abandoned);
-            self.ledger.push(Command::Abandon { txn, late: false });
+            self.ledger.push(Command::Abandon { txn });
         }
     }
 }
--- a/server/src/ledger.rs
+++ b/server/src/ledger.rs
@@ -1,4 +1,4 @@
-//! The link to the ledger: posts calls on one connection, tells how each ended and whether it ran.
+//! The connections to the ledger: posts calls, one at a time on each, tells how each ended and whether it ran.
 
 use crate::config::Addresses;
 use crate::core::{Command, Note, Shared};
@@ -6,148 +6,200 @@
 use crate::frames::Txn;
 use crate::lines::{self, NextReply, Reply};
 use crate::log;
-use crate::pool::{Outbox, SIZE};
+use crate::pool::{Buf, SIZE};
 use cypresscleat::api::Outcome;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
+use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout, Instant};
 
 const CONNECT: Duration = Duration::from_secs(1);
 /// Closed from here well before the ledger closes it, so that no call crosses that close.
 const IDLE: Duration = Duration::from_secs(5);
+/// A reply that has begun and doesn't go on for this long never ends: its length was wrong.
+const HALF: Duration = Duration::from_millis(200);
+/// Replies to nobody that may stand before the one that is waited for.
+const FOREIGN: u32 = 4;
 
-/// One connection and the calls on it, each with its number and where its text begins in the outbox.
+struct Call {
+    txn: Txn,
+    number: u64,
+    text: Buf,
+}
+
+/// One connection. Guards calls against each other: a reply that is spoilt, late or never comes, or a connection
+/// that breaks, costs the one call on it. May hurt where connections are dear: under load there are as many as calls.
 struct Line {
     address: SocketAddr,
-    out: Outbox,
-    calls: RefCell<HashMap<Txn, (u64, u64)>>,
-    /// Takes no new call.
-    retired: Cell<bool>,
+    call: RefCell<Option<Call>>,
+    /// The last that was put on it: a second copy of its reply may still come.
+    last: Cell<Option<Txn>>,
+    /// It ends now; a call on it is given up by that.
+    closed: Cell<bool>,
+    wake: Notify,
+}
+
+impl Line {
+    fn close(&self) {
+        self.closed.set(true);
+        self.wake.notify_one();
+    }
 }
 
-/// Carries out the core's commands. Without an address every call ends as one that found nobody.
-pub async fn link(at: Rc<Addresses>, shared: Shared, queue: Sender<Note>) {
+/// Carries out the core's commands on `most` connections. Without an address, or a connection for it, a call ends as
+/// one that found nobody.
+pub async fn link(at: Rc<Addresses>, shared: Shared, queue: Sender<Note>, most: usize) {
     let mut lines: Vec<Rc<Line>> = Vec::new();
     loop {
         shared.ledger.wake.notified().await;
         loop {
             let Some(command) = shared.ledger.queue.borrow_mut().pop_front() else { break };
-            lines.retain(|line| !line.retired.get() || !line.calls.borrow().is_empty());
+            lines.retain(|line| !line.closed.get());
             match command {
                 Command::Post { txn, number, text } => {
-                    let Some(address) = at.ledger.get() else {
+                    // Where the ledger has moved, the old connections end with the calls that are on them.
+                    let idle = |line: &&Rc<Line>| line.call.borrow().is_none();
+                    let moved = |line: &&Rc<Line>| Some(line.address) != at.ledger.get();
+                    lines.iter().filter(idle).filter(moved).for_each(|line| line.close());
+                    let usable = |line: &&Rc<Line>| !line.closed.get() && line.last.get() != Some(txn);
+                    // The one used last: the others idle until they are closed.
+                    let used = lines.iter().filter(idle).rfind(usable).cloned();
+                    let (Some(address), true) = (at.ledger.get(), used.is_some() || lines.len() < most)
+                    else {
                         let how = Outcome::NoConnection;
                         let _ = queue.send(Note::Called { txn, number, how, reply: None }).await;
                         continue;
                     };
-                    // Where the ledger has moved, the old connections end with the calls that are on them.
-                    for line in lines.iter().filter(|line| line.address != address) {
-                        line.retired.set(true);
-                        line.out.wake.notify_one();
+                    let call = Some(Call { txn, number, text });
+                    if let Some(line) = used {
+                        line.last.set(Some(txn));
+                        line.call.replace(call);
+                        line.wake.notify_one();
+                        // To the end of the list: used last.
+                        lines.retain(|other| !Rc::ptr_eq(other, &line));
+                        lines.push(line);
+                        continue;
                     }
-                    let usable = lines.iter().find(|line| !line.retired.get()).cloned();
-                    let line = usable.unwrap_or_else(|| {
-                        let (calls, retired) = (RefCell::default(), Cell::new(false));
-                        let line = Rc::new(Line { address, out: Outbox::new(&shared.pool), calls, retired });
-                        lines.push(line.clone());
-                        tokio::task::spawn_local(run(line.clone(), shared.clone(), queue.clone()));
-                        line
-                    });
-                    line.calls.borrow_mut().insert(txn, (number, line.out.end()));
-                    line.out.push(&text);
+                    let (call, last, closed) = (RefCell::new(call), Cell::new(Some(txn)), Cell::new(false));
+                    let line = Rc::new(Line { address, call, last, closed, wake: Notify::new() });
+                    lines.push(line.clone());
+                    tokio::task::spawn_local(run(line, at.clone(), shared.clone(), queue.clone()));
                 }
-                Command::Abandon { txn, late } => {
-                    for line in lines.iter().filter(|line| line.calls.borrow_mut().remove(&txn).is_some()) {
-                        line.out.push(lines::abandon(&String::from_utf8_lossy(&txn)).as_bytes());
-                        // Its reply may be on its way, or the connection hang: the next call gets another.
-                        line.retired.set(line.retired.get() || late);
-                    }
+                Command::Abandon { txn } => {
+                    let on =
+                        |line: &&Rc<Line>| line.call.borrow().as_ref().is_some_and(|call| call.txn == txn);
+                    lines.iter().filter(on).for_each(|line| line.close());
                 }
             }
         }
     }
 }
 
-/// One connection from its start to its end, where each call still on it gets its outcome.
-async fn run(line: Rc<Line>, shared: Shared, queue: Sender<Note>) {
+/// One connection from its start to its end, where a call that is still on it gets its outcome.
+async fn run(line: Rc<Line>, at: Rc<Addresses>, shared: Shared, queue: Sender<Note>) {
+    let mut written = false;
     let connected = match timeout(CONNECT, TcpStream::connect(line.address)).await {
         Ok(connected) => connected,
         Err(_) => Err(ErrorKind::TimedOut.into()),
     };
     let result = match connected {
-        Ok(stream) => carry(&line, &stream, &shared, &queue).await,
+        Ok(stream) => carry(&line, &at, &stream, &shared, &queue, &mut written).await,
         Err(error) => Err(error),
     };
-    line.retired.set(true);
+    let given_up = line.closed.replace(true);
+    let Some(Call { txn, number, .. }) = line.call.take().filter(|_| !given_up) else { return };
     if let Err(error) = result {
-        log!("a connection to the ledger with {} calls: {error}", line.calls.borrow().len());
+        log!("a connection to the ledger with a call: {error}");
     }
-    let written = line.out.written();
-    let calls: Vec<_> = line.calls.borrow_mut().drain().collect();
-    for (txn, (number, start)) in calls {
-        // Of which nothing was written, that surely never ran; nothing is known of the others.
-        let how = if start >= written { Outcome::NoConnection } else { Outcome::ConnectionLost };
-        let _ = queue.send(Note::Called { txn, number, how, reply: None }).await;
-    }
-    line.out.clear();
+    // Of which nothing was written, that surely never ran; nothing is known of another.
+    let how = if written { Outcome::ConnectionLost } else { Outcome::NoConnection };
+    let _ = queue.send(Note::Called { txn, number, how, reply: None }).await;
 }
 
-async fn carry(line: &Line, stream: &TcpStream, shared: &Shared, queue: &Sender<Note>) -> io::Result<()> {
+/// Ends without an error where no call is on it any more.
+async fn carry(
+    line: &Line,
+    place: &Addresses,
+    stream: &TcpStream,
+    shared: &Shared,
+    queue: &Sender<Note>,
+    written: &mut bool,
+) -> io::Result<()> {
     let _ = stream.set_nodelay(true);
     let mut buf = shared.pool.take();
-    let mut used = Instant::now();
+    let mut heard = Instant::now();
+    let (mut sent, mut foreign) = (0, 0);
     loop {
-        if !line.out.is_empty() {
-            used = Instant::now();
-            line.out.flush(|bytes| stream.try_write(bytes))?;
-        }
-        let empty = line.calls.borrow().is_empty() && line.out.is_empty();
-        if empty && line.retired.get() {
+        if line.closed.get() {
             return Ok(());
         }
+        let waits = line.call.borrow().is_some();
+        let rest = line.call.borrow().as_ref().map_or(0, |call| call.text.len() - sent);
+        if rest > 0 {
+            let many = line.call.borrow().as_ref().map(|call| stream.try_write(&call.text[sent..]));
+            match many {
+                Some(Ok(many)) => {
+                    *written = true;
+                    sent += many;
+                    continue;
+                }
+                Some(Err(error)) if error.kind() != ErrorKind::WouldBlock => return Err(error),
+                _ => {}
+            }
+        }
         tokio::select! {
-            () = line.out.wake.notified() => continue,
-            ready = stream.writable(), if !line.out.is_empty() => { ready?; continue }
-            () = sleep_until(used + IDLE), if empty => return Ok(()),
+            () = line.wake.notified() => { heard = Instant::now(); continue }
+            ready = stream.writable(), if rest > 0 => { ready?; continue }
+            () = sleep_until(heard + IDLE), if !waits => return Ok(()),
+            () = sleep_until(heard + HALF), if !buf.is_empty() => return Err(ErrorKind::TimedOut.into()),
             ready = stream.readable() => ready?,
         }
         match stream.try_read(buf.spare()) {
-            Ok(0) if empty => return Ok(()),
             Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
             Ok(many) => buf.filled(many),
             Err(error) if error.kind() == ErrorKind::WouldBlock => continue,
             Err(error) => return Err(error),
         }
-        used = Instant::now();
+        heard = Instant::now();
+        // What comes without a call is a copy of a reply, or noise: this connection is not used again.
+        if !waits {
+            return Ok(());
+        }
         let mut at = 0;
         loop {
             match lines::reply(&buf[at..], SIZE) {
                 NextReply::More => break,
                 NextReply::Reply(Reply { call, how, body }, size) => {
-                    let txn = Txn::try_from(call.as_bytes()).ok();
-                    let known = txn.and_then(|txn| Some((txn, line.calls.borrow_mut().remove(&txn)?)));
-                    if let Some((txn, (number, _))) = known {
+                    let own = line.call.borrow_mut().take_if(|own| own.txn == call.as_bytes());
+                    if let Some(Call { txn, number, .. }) = own {
                         let reply = (how == Outcome::Succeeded).then(|| {
                             let mut reply = shared.pool.take();
                             reply.push(body);
                             reply
                         });
+                        (sent, foreign, *written) = (0, 0, false);
                         let _ = queue.send(Note::Called { txn, number, how, reply }).await;
+                        if buf.len() > at + size || place.ledger.get() != Some(line.address) {
+                            return Ok(()); // more than is its own, or the ledger has moved
+                        }
+                    } else {
+                        foreign += 1;
+                        add(&shared.counters.malformed);
                     }
                     at += size;
+                    if foreign > FOREIGN {
+                        return Err(io::Error::new(ErrorKind::InvalidData, "replies to nobody"));
+                    }
                 }
-                NextReply::Unknown(size) => {
+                NextReply::Broken(what) => {
                     add(&shared.counters.malformed);
-                    log!("from the ledger: a line that means nothing");
-                    at += size;
+                    return Err(io::Error::new(ErrorKind::InvalidData, what));
                 }
-                NextReply::Broken(what) => return Err(io::Error::new(ErrorKind::InvalidData, what)),
             }
         }
         buf.consume(at);
--- a/server/src/lines.rs
+++ b/server/src/lines.rs
@@ -99,9 +99,6 @@
     out.extend(b"\r\n");
     out
 }
-pub fn abandon(call: &str) -> String {
-    format!("abandon {call}\r\n")
-}
 
 /// How a call ended, told truly of whether it ran, with the body of its reply.
 #[derive(Debug, PartialEq)]
@@ -115,25 +112,25 @@
 pub enum NextReply<'a> {
     More,
     Reply(Reply<'a>, usize),
-    /// A line that means nothing: to be skipped.
-    Unknown(usize),
-    /// Where the next reply begins can't be known any more.
+    /// A line that means nothing, or where the next reply begins can't be known any more.
     Broken(String),
 }
 
+/// The first line of a reply is shorter than this.
+const LINE: usize = 64;
+
 /// The first reply in `bytes`, of which `most` fit a buffer.
 pub fn reply(bytes: &[u8], most: usize) -> NextReply<'_> {
-    let Some((line, size)) = next(bytes) else {
-        let broken = bytes.len() >= most;
+    let Some((line, size)) = next(&bytes[..bytes.len().min(LINE)]) else {
+        let broken = bytes.len() >= LINE;
         return if broken { NextReply::Broken("a line without end".into()) } else { NextReply::More };
     };
-    let Ok(text) = std::str::from_utf8(line) else { return NextReply::Unknown(size) };
+    let broken = || NextReply::Broken(format!("{:?}", String::from_utf8_lossy(line)));
+    let Ok(text) = std::str::from_utf8(line) else { return broken() };
     let words: Vec<&str> = text.split(' ').collect();
     let (call, how) = match words[..] {
         [call, "posted", length] => {
-            let Ok(length) = length.parse::<usize>() else {
-                return NextReply::Broken(format!("{text:?}"));
-            };
+            let Ok(length) = length.parse::<usize>() else { return broken() };
             let whole = size.saturating_add(length).saturating_add(2);
             if whole > most {
                 return NextReply::Broken(format!("a reply of {length} bytes"));
@@ -151,7 +148,7 @@
         [call, "error"] => (call, Outcome::Errored),
         [call, "expired"] => (call, Outcome::NoAnswer),
         [call, "moot"] => (call, Outcome::NotStarted),
-        _ => return NextReply::Unknown(size),
+        _ => return broken(),
     };
     NextReply::Reply(Reply { call, how, body: b"" }, size)
 }
--- a/server/src/main.rs
+++ b/server/src/main.rs
@@ -21,6 +21,8 @@
 const QUEUE: usize = 256;
 /// Descriptors kept back for the links, the listener, signals and the log.
 const KEPT_BACK: usize = 32;
+/// The part of all descriptors that connections to the ledger may take.
+const CALLS: usize = 8;
 /// The part of the memory that buffers may take.
 const BUFFERS: u64 = 4;
 const BACKLOG: u32 = 1024;
@@ -69,12 +71,13 @@
     let shared = Shared::new((config.memory_mb << 20) as usize / BUFFERS as usize / pool::SIZE);
     let (queue, notes) = channel(QUEUE);
     let clock = Clock::start();
-    let front = Front::new(&shared, queue.clone(), clock, config.sockets - KEPT_BACK);
+    let calls = config.sockets / CALLS;
+    let front = Front::new(&shared, queue.clone(), clock, config.sockets - calls - KEPT_BACK);
     let accepting = spawn_local(front.clone().accept(listener));
     spawn_local(front.clone().sweep());
     let addresses = Rc::new(Addresses::new(&config));
     let mut kernel = spawn_local(kernel::link(addresses.clone(), shared.clone(), queue.clone()));
-    let mut ledger = spawn_local(ledger::link(addresses.clone(), shared.clone(), queue.clone()));
+    let mut ledger = spawn_local(ledger::link(addresses.clone(), shared.clone(), queue.clone(), calls));
     spawn_local(roster::report(addresses.clone(), config.name.clone(), shared.clone()));
     let core = Core::new(config.settings, config.names, &shared);
     let mut core = spawn_local(run(core, notes, clock, front));
