--- a/src/brain.rs
+++ b/src/brain.rs
@@ -91,6 +91,7 @@
 const ADVERT: Time = 1000;
 const OUT_LEAST: f64 = 1.0;
 const OUT_MOST: f64 = 3.0;
+const OUT_EACH: f64 = 1.5;
 const OUT_FALL: f64 = 0.95;
 const OUT_RISE: f64 = 1.1;
 /// Advertised floor: its change at each advert, and its most.
@@ -280,7 +281,7 @@
             calls_most: cores * CALLING,
             pace: 1.0,
             last: now,
-            out_most: (cores * OUT_MOST).max(set.callers),
+            out_most: (cores * OUT_MOST).max(set.callers * OUT_EACH),
             idle: IDLE_MOST,
             ..Brain::default()
         };
@@ -987,7 +988,7 @@
             host.log(&format!("calls {not}slow: mean {mean:.0} ms, {out} out, {wait} wait"));
         }
         let out = self.held.len() + self.active.len();
-        let (least, most) = (self.cores * OUT_LEAST, (self.cores * OUT_MOST).max(self.callers));
+        let (least, most) = (self.cores * OUT_LEAST, (self.cores * OUT_MOST).max(self.callers * OUT_EACH));
         let target =
             if pressed { self.out_most.min(out as f64) * OUT_FALL } else { self.out_most * OUT_RISE };
         self.out_most = target.clamp(least, most);
