--- a/src/brain.rs
+++ b/src/brain.rs
@@ -86,12 +86,12 @@
 /// Weight of the newest in the averages of call times.
 const NEWEST: f64 = 0.1;
 /// Advertised value: set every so many tenths of a millisecond; bounds of what callers may have out, a core;
-/// its steps: while pressed to this multiple of what is out, else of the last value. With many callers each
-/// may have one out while there is room: less would keep them from servers they know are free.
+/// at most so many for each caller where that is more (theirs come unevenly: one would keep them from servers
+/// that are free); its steps: while pressed to this multiple of what is out, else of the last value.
 const ADVERT: Time = 1000;
 const OUT_LEAST: f64 = 1.0;
 const OUT_MOST: f64 = 3.0;
-const OUT_EACH: f64 = 1.5;
+const OUT_EACH: f64 = 2.0;
 const OUT_FALL: f64 = 0.95;
 const OUT_RISE: f64 = 1.1;
 /// Advertised floor: its change at each advert, and its most.
@@ -521,8 +521,7 @@
         Step::Pass
     }
 
-    /// What lay unread past its objective goes at once; what may still meet it stays, for estimates are
-    /// rough.
+    /// What lay unread past its objective goes at once; what may still meet it stays: estimates are rough.
     fn due_in(&mut self, now: Time, a: &Arrival, host: &mut dyn Host) -> Step {
         if self.rec(a.inv).is_some_and(|rec| rec.goal <= now) {
             self.due(now, a.inv, host);
