--- a/server/src/core.rs
+++ b/server/src/core.rs
@@ -47,7 +47,7 @@
     pub told: Cell<Option<Time>>,
     /// A whole frame has come on it.
     pub spoke: Cell<bool>,
-    /// It broke the protocol: nothing more is read, and it ends once all that is open on it is answered.
+    /// Nothing more is read, and it ends once all that is open on it is answered.
     pub shut: Cell<bool>,
     /// Invocations that could not be carried out since the last success.
     strikes: Cell<u32>,
@@ -90,9 +90,15 @@
     /// told so, and read no more. Holds against any sender of nonsense; may hurt where a router has such a fault:
     /// it has to connect anew.
     pub fn breach(&self, counters: &Counters, stream: u32, what: &str) {
-        if !self.shut.replace(true) {
+        if !self.shut.get() {
             self.malformed(counters, stream, what);
         }
+        self.end();
+    }
+    /// The one way in which a connection is closed from here; wakes its task, which would else not look.
+    pub fn end(&self) {
+        self.shut.set(true);
+        self.out.wake.notify_one();
     }
     /// An invocation that can't be carried out: errored; the connection goes on until there were several.
     fn strike(&self, counters: &Counters, stream: u32, what: &str) {
--- a/server/src/front.rs
+++ b/server/src/front.rs
@@ -22,6 +22,8 @@
 const SILENT: Time = 2_000 * MS;
 /// Idle connections are closed while more than this part of all that may be held are open: routers take no more.
 const ROUTERS: usize = 2;
+/// One that was used this short a time ago is the last to be closed for room.
+const USED: Time = 300 * MS;
 /// A connection told to take no new invocation is closed from here after this long without one.
 const TOLD: Time = 1_000 * MS;
 /// A new connection may be silent this long before it is the first to go at the limit of descriptors.
@@ -32,8 +34,7 @@
 struct Conn {
     peer: Rc<Peer>,
     since: Time,
-    /// The connection is to end: once nothing is open on it, or at once.
-    close: Cell<bool>,
+    /// The connection is to end at once.
     kill: Cell<bool>,
     half_since: Cell<Option<Time>>,
     written: Cell<(u64, Time)>,
@@ -83,14 +84,14 @@
         let (now, conns) = (self.clock.now(), self.conns.borrow());
         let order = |conn: &&Rc<Conn>| {
             let (spoke, since) = (conn.peer.spoke.get(), conn.peer.active_at.get());
-            let new = now - since < if spoke { TOLD } else { NEW };
+            let new = now - since < if spoke { USED } else { NEW };
             (new, spoke, since)
         };
-        let idle = conns.iter().filter(|conn| conn.peer.is_idle() && !conn.close.get());
+        let idle = conns.iter().filter(|conn| conn.peer.is_idle() && !conn.peer.shut.get());
         let Some(conn) = idle.min_by_key(order) else { return };
         add(&self.shared.counters.idle_closed);
         conn.peer.tell(now);
-        conn.close.set(true);
+        conn.peer.end();
     }
 
     /// Looks at all connections from time to time: those that idle, half-sent frames, peers that never read.
@@ -104,13 +105,15 @@
             let crowd = conns.len().saturating_sub(self.most / ROUTERS);
             let mut idle: Vec<&Rc<Conn>> = Vec::new();
             if crowd > 0 {
-                let idles = |peer: &Peer| peer.is_idle() && peer.spoke.get() && peer.told.get().is_none();
+                let old = |peer: &Peer| now - peer.active_at.get() > USED && !peer.shut.get();
+                let idles = |peer: &Peer| peer.is_idle() && peer.spoke.get() && old(peer);
                 idle.extend(conns.iter().filter(|conn| idles(&conn.peer)));
                 idle.sort_by_key(|conn| conn.peer.active_at.get());
             }
-            for conn in idle.into_iter().take(crowd).filter(|conn| now - conn.peer.active_at.get() > TOLD) {
+            for conn in idle.into_iter().take(crowd) {
                 add(&self.shared.counters.idle_closed);
                 conn.peer.tell(now);
+                conn.peer.end();
             }
             for conn in conns.iter() {
                 let peer = &conn.peer;
@@ -120,7 +123,7 @@
                 }
                 let stuck = now - conn.written.get().1 > STUCK;
                 let half = conn.half_since.get().is_some_and(|since| now - since > SILENT);
-                let silent = !peer.spoke.get() && now - conn.since > SILENT && !conn.close.get();
+                let silent = !peer.spoke.get() && now - conn.since > SILENT && !peer.shut.get();
                 let idles = most.is_some_and(|most| now - peer.active_at.get() >= most);
                 if stuck {
                     add(&self.shared.counters.stuck_closed);
@@ -136,8 +139,7 @@
                         if half { "a frame half sent" } else { "nothing was sent" },
                     );
                 } else if peer.told.get().is_some_and(|at| now - at > TOLD) {
-                    conn.close.set(true);
-                    peer.out.wake.notify_one();
+                    peer.end();
                 } else if idles && peer.is_idle() && peer.told.get().is_none() {
                     add(&self.shared.counters.idle_closed);
                     peer.tell(now);
@@ -153,7 +155,6 @@
         let conn = Rc::new(Conn {
             peer: Rc::new(Peer::new(&self.shared.pool, now)),
             since: now,
-            close: Cell::new(false),
             kill: Cell::new(false),
             half_since: Cell::new(None),
             written: Cell::new((0, now)),
@@ -182,7 +183,7 @@
         let mut reader = Reader { kept: None, ended: false };
         loop {
             peer.out.flush(|bytes| stream.try_write(bytes))?;
-            let over = reader.ended || conn.close.get() || peer.shut.get();
+            let over = reader.ended || peer.shut.get();
             if conn.kill.get() || over && peer.is_idle() {
                 return Ok(());
             }
--- a/server/tests/sockets.rs
+++ b/server/tests/sockets.rs
@@ -377,6 +377,24 @@
 }
 
 /// Guards the descriptors against peers that connect and say nothing: at the limit they go first, else in time.
+/// Guards the room of routers, and the time in which they get in, against others that ask once and stay.
+#[test]
+fn connections_that_ask_once_and_stay_are_closed_while_there_are_many() {
+    let (place, mut kernel) = up(|all| all["limits"]["sockets"] = json!(256));
+    let mut all: Vec<Router> = Vec::new();
+    for _ in 0..192 {
+        let mut router = Router::connect(place.server);
+        router.0.send(frame(16, 1, &[0]));
+        assert_eq!(router.frame().kind, 32);
+        all.push(router);
+    }
+    // As many as there is room for: half of them, those idle longest, are told and closed.
+    for idle in &mut all[..96] {
+        assert_eq!((idle.frame().kind, idle.0.ended()), (64, true));
+    }
+    succeeds(&mut all[191], &mut kernel, 1, ONE);
+}
+
 #[test]
 fn connections_that_say_nothing_make_room_for_those_that_do() {
     let (place, mut kernel) = up(|all| all["limits"]["sockets"] = json!(64));
