Operations of each effect over frames: tokens are kept in memory, fragile ones start

Cause: server/src/config.rs check() and check_tokens() refused both effects; frames::invocation() did not read the field; Keeping existed with a store only. Change: 'unique' is the token of a frame; without a store tokens are known in this life (4,096 at most, then turned away with a time to come back); the window counts from when a try came, not from when it was read; a try that follows another takes its place when that one's caller leaves; a result nobody waited for is there for the next try; bytes of an invocation that is over go back to the pool while its token lives on; entries are booked in this process' memory, not in the kernel's. A forwarder still refuses tokened operations.

--- a/server/src/config.rs
+++ b/server/src/config.rs
@@ -98,8 +98,10 @@
         }
     };
     let (settings, names) =
-        settings::read(&all["settings"], seed).map_err(|what| format!("settings: {what}"))?;
+        settings::read(&all["settings"], seed).map_err(|what| format!("settings.{what}"))?;
     check(&all["settings"], &settings)?;
+    // What is kept of tokens stands in the memory of this process, not in that of the kernel, which the module books.
+    let settings = Settings { entry_kb: 0.0, ..settings };
     let name = text("name")?.or(name).ok_or("name is missing")?;
     if !name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)) {
         return Err(format!("name: {name:?} has other characters than letters, digits, '-', '_' and '.'"));
@@ -118,13 +120,18 @@
     })
 }
 
-/// Tokened operations need a store and a front that carries the token.
-pub fn check_tokens(set: &Settings, carried: impl Fn(usize) -> bool) -> Result<(), String> {
-    let tokened = |op: &Operation| op.effect == Effect::Tokened;
-    match set.operations.iter().enumerate().find(|(at, op)| tokened(op) && !carried(*at)) {
-        Some((at, _)) => Err(format!(
-            "settings.categories[{at}].effect: the frames carry no marks of repeats; it takes a store and a route with a token"
-        )),
+/// A tokened operation is told by its token: frames carry one, a route has to name its header. Workers keep tokens, and a
+/// forwarder does not know which of them has one.
+pub fn check_tokens(set: &Settings, forwards: bool, lacks: impl Fn(usize) -> bool) -> Result<(), String> {
+    let mut tokened =
+        set.operations.iter().enumerate().filter(|(_, op)| op.effect == Effect::Tokened).map(|(at, _)| at);
+    if let (Some(at), true) = (tokened.clone().next(), forwards) {
+        return Err(format!("settings.categories[{at}].effect: a forwarder takes no tokened operation"));
+    }
+    match tokened.find(|at| lacks(*at)) {
+        Some(at) => {
+            Err(format!("settings.categories[{at}].effect: a route to it names no header with its token"))
+        }
         None => Ok(()),
     }
 }
@@ -152,9 +159,6 @@
         if op.objective <= 0 || op.timeout <= 0 {
             return Err(format!("settings.categories[{at}].aim_ns and deadline_ns must be above 0"));
         }
-        if op.effect == Effect::NonIdempotent {
-            return Err(format!("settings.categories[{at}].effect: the frames carry no marks of repeats"));
-        }
         if op.skipped > 0.0 {
             return Err(format!("settings.specifics.degraded_worth[{at}]: the kernel can't skip a call"));
         }
--- a/server/src/core.rs
+++ b/server/src/core.rs
@@ -217,6 +217,11 @@
     hasher.finish()
 }
 
+/// Nothing lies unread for longer and is still worth an answer.
+fn unread(settings: &Settings) -> Time {
+    settings.operations.iter().map(|op| op.timeout).max().unwrap_or(0)
+}
+
 /// All but the `Brain`: what its `Host` needs.
 struct Side {
     names: Rc<Names>,
@@ -295,7 +300,7 @@
 impl Core {
     pub fn new(settings: Settings, names: Rc<Names>, shared: &Shared) -> Core {
         let Shared { pool, counters, voice, calls: calls_to } = shared.clone();
-        let side = Side {
+        let mut side = Side {
             names,
             pool,
             counters,
@@ -322,6 +327,10 @@
             wake_at: Time::MAX,
             waits_until: None,
         };
+        // Without a store to keep them in, tokens are known in this life.
+        if settings.operations.iter().any(|op| op.effect == Effect::Tokened) {
+            side.keeping.insert(Keeping::in_memory()).unread = unread(&settings);
+        }
         let own = settings.pools.clone();
         Core { brain: None, settings, closes_at: Time::MAX, held: VecDeque::new(), policy: None, own, side }
     }
@@ -333,7 +342,8 @@
 
     /// Rows are kept from now on; to be said before the first message.
     pub fn keep(&mut self, keeping: Keeping) {
-        self.side.keeping = Some(keeping);
+        let unread = unread(&self.settings);
+        self.side.keeping.insert(keeping).unread = unread;
     }
 
     /// A policy of the fleet says whether anything may be admitted; to be said before the first message.
@@ -552,9 +562,23 @@
             let how = How::Throttled { back: STORE_BACK, give_up: false };
             return peer.wire.answer(&peer.out, stream, how, b"", side.voice.feedback.get());
         }
+        // Guards the table of tokens: a token that is not kept could not be told from its repeat, and would run twice. May hurt
+        // where more tokens come in their window than the table has room for.
+        let new =
+            |keeping: &Keeping| read.token.as_deref().is_some_and(|token| keeping.token(token).is_none());
+        let full =
+            side.keeping.as_ref().filter(|keeping| tokened && new(keeping)).and_then(Keeping::full_until);
+        if let Some(until) = full {
+            add(&counters.tokens_refused);
+            add(&counters.throttled);
+            let back = (until - unix).clamp(MS, self.settings.max_backoff.max(MS));
+            let how = How::Throttled { back, give_up: false };
+            return peer.wire.answer(&peer.out, stream, how, b"", side.voice.feedback.get());
+        }
         // Under a token that is known it is a repeat, if it says the same.
-        let known =
-            read.token.as_deref().filter(|_| tokened).and_then(|token| side.keeping.as_ref()?.token(token));
+        let came = read.door.min(unix);
+        let token = read.token.as_deref().filter(|_| tokened);
+        let known = token.and_then(|token| side.keeping.as_ref()?.repeats(token, came));
         let repeats = match known {
             None => None,
             Some(token) if token.said != said => {
@@ -695,6 +719,13 @@
     fn left(&mut self, inv: Inv) {
         add(&self.side.counters.caller_left);
         self.side.settle(inv);
+        // Whoever waits for its answer takes its place: it goes on for them, and is not over with its first caller.
+        if let Some(next) = self.side.keeping.as_mut().and_then(|keeping| keeping.follower(inv)) {
+            if let Some((peer, stream)) = self.side.settle(next) {
+                self.side.owe(inv, peer, stream);
+                return self.module(|brain, now, side| brain.caller_left(now, next, side));
+            }
+        }
         self.module(|brain, now, side| brain.caller_left(now, inv, side));
     }
 
@@ -771,6 +802,9 @@
     /// The run is over: the first answer to its invocation, if none was given, is how it ended.
     fn reaped(&mut self, inv: Inv, how: Outcome, blob: Buf) {
         let counters = self.side.counters.clone();
+        if self.side.rec(inv).to.is_none() {
+            self.side.ran_for_nobody(inv, how, &blob);
+        }
         match how {
             Outcome::Succeeded => {
                 add(&counters.runs_succeeded);
@@ -790,6 +824,11 @@
         (rec.asked, rec.stopped) = (Asked::Nothing, false);
         self.module(|brain, now, side| brain.run_ended(now, inv, how, side));
         self.settle_reused();
+        // Its entry may live on for as long as a repeat can come, its bytes need not.
+        if let Some(rec) = self.side.open[inv].as_mut().filter(|rec| rec.to.is_none()) {
+            rec.payload.give_back();
+            rec.blob = None;
+        }
     }
 
     // ---- calls ----
@@ -886,6 +925,25 @@
             }
         }
         self.write(txn, said, peer, stream, how, body);
+        // It was never run, and now never is.
+        let rec = self.rec(inv);
+        if rec.asked == Asked::Nothing && !rec.ran {
+            rec.payload.give_back();
+        }
+    }
+
+    /// A run is over for which nobody waits: what a repeat of it may ask for is noted, and those that follow it are answered.
+    fn ran_for_nobody(&mut self, inv: Inv, how: Outcome, result: &[u8]) {
+        let Some(token) = self.rec(inv).token.clone() else { return };
+        let Some(keeping) = self.keeping.as_mut() else { return };
+        let how = match how {
+            Outcome::Succeeded => {
+                keeping.ran(&token, result);
+                How::Succeeded
+            }
+            _ => How::Errored(Cause::Failed), // some of it may have run: nobody is turned away for it
+        };
+        self.answer_followers(inv, how, if how == How::Succeeded { result } else { b"" });
     }
 
     /// Lets an answer wait until a job is done with, where answers do.
@@ -945,8 +1003,11 @@
             came: rec.came,
             now: self.unix,
         };
-        let number = self.keeping.as_mut()?.bill(&row, rec.token.as_deref(), body);
-        add(if number.is_none() { &self.counters.unrecorded } else { &self.counters.rows });
+        let keeping = self.keeping.as_mut()?;
+        let number = keeping.bill(&row, rec.token.as_deref(), body);
+        if keeping.stores() {
+            add(if number.is_none() { &self.counters.unrecorded } else { &self.counters.rows });
+        }
         number
     }
 
--- a/server/src/core/keeping.rs
+++ b/server/src/core/keeping.rs
@@ -1,5 +1,6 @@
-//! What of the core's work outlives it: billing rows, tokens with their results, what was owed at a drain. No I/O: jobs go
-//! out, word of what was kept comes in. A row's key begins with `b/` (billing), `t/` (token) or `o/` (owed).
+//! What of the core's work outlives an invocation: tokens with their results, and, with a store, billing rows and what was owed
+//! at a drain, which outlive the process too. No I/O: jobs go out, word of what was kept comes in. A row's key begins with `b/`
+//! (billing), `t/` (token) or `o/` (owed).
 
 use super::door::{How, Peer, Txn};
 use crate::pool::Buf;
@@ -18,6 +19,8 @@
 
 /// Results of tokens in memory, in bytes, at the most; what is more is known to have run, and its result is not.
 const RESULTS: usize = 4 << 20;
+/// Tokens known at once. One more could not be told from its repeat, so it is turned away until one goes.
+const TOKENS: usize = 4096;
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ran {
@@ -125,7 +128,8 @@
 }
 
 pub struct Keeping {
-    to: SyncSender<Job>,
+    /// Without a store tokens are known for as long as the process lives.
+    to: Option<SyncSender<Job>>,
     number: u64,
     waiting: VecDeque<(u64, Waits)>,
     /// Answers leave behind the commit of their row, else before.
@@ -140,23 +144,31 @@
     results: usize,
     /// All jobs up to this one are done with.
     kept: u64,
+    /// A repeat may be read so long after it came.
+    pub unread: Time,
 }
 
 impl Keeping {
-    pub fn new(to: SyncSender<Job>, after: bool, refuse: bool, loaded: Loaded) -> (Keeping, Vec<String>) {
-        let mut keeping = Keeping {
-            to,
+    /// Tokens only, for this life of the process.
+    pub fn in_memory() -> Keeping {
+        Keeping {
+            to: None,
             number: 0,
             waiting: VecDeque::new(),
-            after,
-            refuse,
+            after: false,
+            refuse: false,
             failing: false,
             tokens: HashMap::new(),
             until: BTreeSet::new(),
             followers: Vec::new(),
             results: 0,
             kept: 0,
-        };
+            unread: 0,
+        }
+    }
+
+    pub fn new(to: SyncSender<Job>, after: bool, refuse: bool, loaded: Loaded) -> (Keeping, Vec<String>) {
+        let mut keeping = Keeping { to: Some(to), after, refuse, ..Keeping::in_memory() };
         for (name, token) in loaded.tokens {
             keeping.remember(name, token);
         }
@@ -168,10 +180,15 @@
         (keeping, told)
     }
 
-    /// The number under which word of it comes; `None` where the store is too far behind.
+    /// Whether rows are to outlive the process.
+    pub fn stores(&self) -> bool {
+        self.to.is_some()
+    }
+
+    /// The number under which word of it comes; `None` without a store, or where it is too far behind.
     fn send(&mut self, writes: Vec<(Vec<u8>, Option<Vec<u8>>)>) -> Option<u64> {
         let number = self.number + 1;
-        self.to.try_send(Job { number, writes }).ok()?;
+        self.to.as_ref()?.try_send(Job { number, writes }).ok()?;
         self.number = number;
         Some(number)
     }
@@ -199,22 +216,31 @@
             ms(row.now)
         );
         let mut writes = vec![(key.into_bytes(), Some(value.into_bytes()))];
-        if let Some(name) = token {
-            if let Some(known) = self.tokens.get_mut(name) {
-                // Followers may have it at once; others once it is released.
-                let done = Token { ran: Ran::Done(result.to_vec()), ..known.clone() };
-                writes.push((token_key(name), Some(done.write())));
-                if self.results + result.len() <= RESULTS {
-                    self.results += result.len();
-                    known.ran = done.ran;
-                } else {
-                    known.ran = Ran::Begun;
-                }
-            }
-        }
+        writes.extend(token.and_then(|name| self.done(name, result)));
         self.send(writes)
     }
 
+    /// One with a token succeeded, and nobody waits for it any more: a repeat may still come.
+    pub fn ran(&mut self, token: &str, result: &[u8]) {
+        if let Some(write) = self.done(token, result) {
+            self.send(vec![write]);
+        }
+    }
+
+    /// The result of a token. Followers may have it at once; others once it is released.
+    fn done(&mut self, name: &str, result: &[u8]) -> Option<(Vec<u8>, Option<Vec<u8>>)> {
+        let known = self.tokens.get_mut(name)?;
+        let done = Token { ran: Ran::Done(result.to_vec()), ..known.clone() };
+        let write = self.to.is_some().then(|| (token_key(name), Some(done.write())));
+        if self.results + result.len() <= RESULTS {
+            self.results += result.len();
+            known.ran = done.ran;
+        } else {
+            known.ran = Ran::Begun;
+        }
+        write
+    }
+
     /// `number` is that of the last job, or of one before.
     pub fn wait(&mut self, number: u64, waits: Waits) {
         debug_assert!(self.waiting.back().is_none_or(|(before, _)| *before <= number));
@@ -232,6 +258,23 @@
         self.tokens.get(name)
     }
 
+    /// What an invocation that came at `came` under that token repeats: its window counts from when it came, not from when it was
+    /// read. One that is still open is always repeated.
+    pub fn repeats(&self, name: &str, came: Time) -> Option<&Token> {
+        self.tokens.get(name).filter(|token| came < token.until || matches!(token.ran, Ran::Open(_)))
+    }
+
+    /// When the next token goes, in Unix time, where no more can be known until then.
+    pub fn full_until(&self) -> Option<Time> {
+        (self.tokens.len() >= TOKENS).then(|| self.until.first().map_or(0, |(until, _)| *until))
+    }
+
+    /// Whoever waits for this one's answer first stops waiting, and takes its place.
+    pub fn follower(&mut self, first: Inv) -> Option<Inv> {
+        let at = self.followers.iter().position(|(known, _)| *known == first)?;
+        Some(self.followers.remove(at).1)
+    }
+
     pub fn remember(&mut self, name: String, token: Token) {
         self.forget(&name);
         if let Ran::Done(result) = &token.ran {
@@ -270,8 +313,9 @@
         }
     }
 
-    /// Tokens whose window is over go, here and from the store.
+    /// Tokens whose window is over go, here and from the store, once no repeat that came inside it can be unread.
     pub fn expire(&mut self, unix: Time) {
+        let unix = unix - self.unread;
         let mut writes = Vec::new();
         while let Some((until, name)) = self.until.first().cloned().filter(|(until, _)| *until <= unix) {
             if self.tokens.get(&name).is_some_and(|token| matches!(token.ran, Ran::Open(_))) {
--- a/server/src/counters.rs
+++ b/server/src/counters.rs
@@ -29,6 +29,7 @@
     invocations: "invocations taken in",
     policy_held: "invocations held for a moment while a change of policy stopped all",
     policy_refused: "invocations turned away while out of service under a policy",
+    tokens_refused: "invocations turned away as no more tokens could be kept",
     resent: "invocations that came again under their id on another connection",
     malformed: "frames or lines that could not be read",
     caller_left: "invocations whose caller left",
--- a/server/src/frames.rs
+++ b/server/src/frames.rs
@@ -22,6 +22,8 @@
 const WORK: f64 = 3.6e6;
 const MEMORY: f64 = 2000.0;
 const DOOR: f64 = 1e14;
+/// Longest idempotency key, in bytes, whichever front brings it.
+pub const TOKEN: usize = 200;
 /// Bytes of a frame before its payload: length, type, stream.
 const HEAD: usize = 9;
 
@@ -90,6 +92,11 @@
     Some((fields, rest))
 }
 
+/// Whether it is visible ASCII.
+pub fn is_word(text: &str) -> bool {
+    text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 /// What the fields of an invocation say; names are those of the settings.
 #[derive(Debug, PartialEq)]
 pub struct Invocation<'a> {
@@ -102,6 +109,8 @@
     pub kb: f64,
     pub rank: f64,
     pub item: Option<&'a str>,
+    /// The idempotency key of a tokened operation: each try of one invocation brings the same.
+    pub token: Option<&'a str>,
     pub body: &'a [u8],
 }
 
@@ -123,6 +132,12 @@
         _ => return Err(format!("txn {txn:?}")),
     };
     let hint = get("cpu").map(|value| number("cpu", value, WORK)).transpose()?;
+    let token = match get("unique") {
+        Some(token) if token.is_empty() || token.len() > TOKEN || !is_word(token) => {
+            return Err(format!("unique {token:?}"))
+        }
+        token => token,
+    };
     Ok(Invocation {
         txn,
         operation: need("verb")?,
@@ -132,6 +147,7 @@
         kb: number("ram", need("ram")?, MEMORY)?,
         rank: get("standing").map_or(Ok(0.0), |value| number("standing", value, 1.0))?,
         item: get("item"),
+        token,
         body,
     })
 }
--- a/server/src/fronts/frames.rs
+++ b/server/src/fronts/frames.rs
@@ -80,8 +80,8 @@
         }
         _ => None,
     };
-    let frames::Invocation { txn, door, hint, kb, rank, item, body, .. } = read;
-    let (keyed, subject) = (item.is_some(), item.map(hashed));
+    let frames::Invocation { txn, door, hint, kb, rank, item, token, body, .. } = read;
+    let (keyed, subject, token) = (item.is_some(), item.map(hashed), token.map(Box::from));
     let body = bytes.len() - body.len()..bytes.len();
     Ok(Invocation {
         txn,
@@ -93,7 +93,7 @@
         hint,
         kb,
         keyed,
-        token: None,
+        token,
         subject,
         raw: true,
         bytes,
--- a/server/src/fronts/routes.rs
+++ b/server/src/fronts/routes.rs
@@ -2,6 +2,7 @@
 //! No I/O.
 
 use crate::core::door::{Invocation, Txn};
+use crate::frames::{is_word, TOKEN};
 use crate::pool::Buf;
 use cypresscleat::api::Time;
 use cypresscleat_scgi::request::Request;
@@ -52,8 +53,6 @@
     Wrong(String),
 }
 
-/// Longest token, in bytes.
-const TOKEN: usize = 200;
 /// An hour: nobody waits longer, no run takes longer.
 const LONGEST_MS: f64 = 3.6e6;
 
@@ -65,10 +64,9 @@
         Routes { all, customers: customers.to_vec() }
     }
 
-    /// Whether each route to this operation asks for a token, and there is one.
-    pub fn carries_tokens(&self, op: usize) -> bool {
-        let mut own = self.all.iter().filter(|route| route.op == op).peekable();
-        own.peek().is_some() && own.all(|route| route.token.is_some())
+    /// Whether a route to this operation asks for no token.
+    pub fn lacks_token(&self, op: usize) -> bool {
+        self.all.iter().any(|route| route.op == op && route.token.is_none())
     }
 
     pub fn find(&self, path: &str, method: &str) -> Result<&Rc<Route>, Refusal> {
@@ -144,9 +142,7 @@
         let token = match &route.token {
             None => None,
             Some(name) => match said(&route.token)? {
-                Some(token) if token.len() <= TOKEN && token.bytes().all(|byte| byte.is_ascii_graphic()) => {
-                    Some(token.into())
-                }
+                Some(token) if token.len() <= TOKEN && is_word(token) => Some(token.into()),
                 Some(token) => return Err(Refusal::Wrong(format!("{name} {token:?}"))),
                 None => return Err(Refusal::Wrong(format!("no {name}"))),
             },
--- a/server/src/main.rs
+++ b/server/src/main.rs
@@ -123,10 +123,8 @@
             .await
             .map(|()| ExitCode::SUCCESS);
     }
-    let carried = |op: usize| {
-        operator.store.is_some() && operator.scgi.as_ref().is_some_and(|scgi| scgi.routes.carries_tokens(op))
-    };
-    if let Err(what) = config::check_tokens(&config.settings, carried) {
+    let lacks = |op: usize| operator.scgi.as_ref().is_some_and(|scgi| scgi.routes.lacks_token(op));
+    if let Err(what) = config::check_tokens(&config.settings, role == Role::Forwarder, lacks) {
         log!("{what}");
         return Ok(ExitCode::from(2));
     }
--- a/server/src/pool.rs
+++ b/server/src/pool.rs
@@ -62,6 +62,11 @@
     pub fn filled(&mut self, more: usize) {
         self.len = (self.len + more).min(SIZE);
     }
+    /// Goes back to the pool before it is dropped; nothing stands in it any more.
+    pub fn give_back(&mut self) {
+        let pool = self.pool.clone();
+        drop(std::mem::replace(self, Buf { block: None, len: 0, pool }));
+    }
     /// Drops the first bytes; the rest moves to the front.
     pub fn consume(&mut self, many: usize) {
         let (many, len) = (many.min(self.len), self.len);
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -43,9 +43,10 @@
     value.as_array().map_or(&[], Vec::as_slice)
 }
 
-fn names(value: &Value) -> Result<Vec<String>, String> {
+fn names(key: &str, value: &Value) -> Result<Vec<String>, String> {
     let name = |row: &Value| row["name"].as_str().map(str::to_string);
-    rows(value).iter().map(|row| name(row).ok_or_else(|| format!("no name in {row}"))).collect()
+    let named = |(at, row)| name(row).ok_or_else(|| format!("{key}[{at}].name is missing or no text"));
+    rows(value).iter().enumerate().map(named).collect()
 }
 
 pub fn read_text(text: &str, seed: u64) -> Result<(Settings, Names), String> {
@@ -55,8 +56,11 @@
 pub fn read(all: &Value, seed: u64) -> Result<(Settings, Names), String> {
     let (own, rules) = (&all["specifics"], &all["obligations"]);
     let gauges = rows(&own["gauges"]).iter().map(|name| name.as_str().unwrap_or("").to_string()).collect();
-    let names =
-        Names { operations: names(&all["categories"])?, customers: names(&all["customers"])?, gauges };
+    let names = Names {
+        operations: names("categories", &all["categories"])?,
+        customers: names("customers", &all["customers"])?,
+        gauges,
+    };
     let operation = |(at, row): (usize, &Value)| {
         Ok(Operation {
             objective: span(&row["aim_ns"]),
