An instance with an old list is told where the new leading keeper hears

Excluded: a lost quorum (the log shows k3 leading in term 2 with k1's vote) and the instances (they asked k1 on and on). Cause: k1 answered 'Elsewhere k3'; instances started with the old list know k0, k1 and k2 only, so holder.rs and member.rs dropped that answer (known.filter) and the operator's command walked its own list. Where k1 led by chance the test passed. Change: a keeper says where the leader hears ahead of that word (Wire::At, behind all older kinds, so older programs drop it); it is believed of known keepers only, 32 in all. The decider's test fails without knows().

--- a/owners/src/holder.rs
+++ b/owners/src/holder.rs
@@ -194,6 +194,13 @@
         self.known = (0, Part { duty: 0, part: 0 });
     }
 
+    /// A keeper that came after this instance was started.
+    pub fn knows(&mut self, keeper: Id) {
+        if !self.keepers.contains(&keeper) {
+            self.keepers.push(keeper);
+        }
+    }
+
     fn ask(&self, ask: Ask) -> Vec<(Id, Ask)> {
         self.keepers.get(self.at).map(|keeper| (*keeper, ask)).into_iter().collect()
     }
--- a/owners/tests/owners.rs
+++ b/owners/tests/owners.rs
@@ -280,3 +280,17 @@
     holder.hear(SECOND / 2 + 30, keeper, Answer::Done { number: *number, did: 0 });
     assert!(holder.left());
 }
+
+/// Keepers change in service: an instance that was started with the old list is sent to one that it does not know.
+#[test]
+fn a_leader_that_came_later_is_asked_once_it_is_known() {
+    use cypresscleat_owners::holder::Holder;
+    use cypresscleat_owners::said::Answer;
+    use cypresscleat_owners::Want;
+    let mut holder = Holder::new(0, 5, 1, vec![Want { duty: 7, parts: 1, rank: 0 }], vec![1]);
+    assert_eq!(holder.tick(0).first().map(|(to, _)| *to), Some(1));
+    assert!(holder.hear(1, 1, Answer::Elsewhere { leader: 4 }).is_empty(), "nobody it knows");
+    holder.knows(4);
+    let asks = holder.hear(2, 1, Answer::Elsewhere { leader: 4 });
+    assert_eq!(asks.first().map(|(to, _)| *to), Some(4));
+}
--- a/rollout/src/member.rs
+++ b/rollout/src/member.rs
@@ -164,6 +164,13 @@
         self.due.min(over).min(fetch)
     }
 
+    /// A keeper that came after this instance was started.
+    pub fn learns(&mut self, keeper: Id) {
+        if !self.keepers.contains(&keeper) {
+            self.keepers.push(keeper);
+        }
+    }
+
     fn ask(&self, ask: Ask) -> Vec<(Id, Ask)> {
         self.keepers.get(self.at).map(|keeper| (*keeper, ask)).into_iter().collect()
     }
--- a/server/src/owning/hold.rs
+++ b/server/src/owning/hold.rs
@@ -1,6 +1,6 @@
 //! An instance's end: its session with the keepers, on a socket of its own.
 
-use super::wire::Wire;
+use super::wire::{learns, Wire};
 use super::{drawn, Keepers, Steady};
 use cypresscleat_owners::holder::{Event, Holder};
 use cypresscleat_owners::said::Ask;
@@ -79,11 +79,17 @@
                 () = sleep_until(due) => continue,
                 got = self.socket.recv_from(&mut self.bytes) => got,
             };
-            let Ok((size, _)) = got else { continue }; // word of an earlier datagram that found nobody
-            if let Ok(Wire::Answer { from, answer }) = letter::read::<Wire>(&self.bytes[..size]) {
-                let now = self.clock.now();
-                let asks = self.holder.hear(now, from, answer);
-                self.post(asks);
+            let Ok((size, by)) = got else { continue }; // word of an earlier datagram that found nobody
+            match letter::read::<Wire>(&self.bytes[..size]) {
+                Ok(Wire::Answer { from, answer }) => {
+                    let now = self.clock.now();
+                    let asks = self.holder.hear(now, from, answer);
+                    self.post(asks);
+                }
+                Ok(Wire::At { keeper, address }) if learns(&mut self.to, by, keeper, address) => {
+                    self.holder.knows(keeper);
+                }
+                _ => {}
             }
         }
     }
--- a/server/src/owning/keep.rs
+++ b/server/src/owning/keep.rs
@@ -148,6 +148,19 @@
                 }
             }
             let from = self.own;
+            let elsewhere = said.0.iter().filter_map(|(to, answer)| match answer {
+                Answer::Elsewhere { leader } => Some((*to, *leader)),
+                _ => None,
+            });
+            let also = said.1.iter().filter_map(|(to, answer)| match answer {
+                policies::Answer::Elsewhere { leader } => Some((*to, *leader)),
+                _ => None,
+            });
+            for (to, keeper) in elsewhere.chain(also) {
+                if let Some(address) = self.to.get(&keeper).copied() {
+                    super::send(&self.socket, to, &Wire::At { keeper, address });
+                }
+            }
             for (to, answer) in said.0.drain(..) {
                 super::send(&self.socket, to, &Wire::Answer { from, answer });
             }
@@ -321,7 +334,7 @@
                     out = out.and(more);
                     said.0.extend(answers);
                 }
-                Ok(Wire::Answer { .. } | Wire::PolicyAnswer { .. }) => {}
+                Ok(Wire::Answer { .. } | Wire::PolicyAnswer { .. } | Wire::At { .. }) => {}
                 Err(_) => garbled += 1,
             }
         }
--- a/server/src/owning/wire.rs
+++ b/server/src/owning/wire.rs
@@ -1,7 +1,7 @@
 //! What a datagram to or from a keeper holds, and a question asked of whichever keeper leads.
 
 use super::Keepers;
-use cypresscleat_owners::{said, Id};
+use cypresscleat_owners::{id, said, Id};
 use cypresscleat_quorum::letter::{self, Letter};
 use cypresscleat_rollout::said as policies;
 use serde::{Deserialize, Serialize};
@@ -27,6 +27,24 @@
         from: Id,
         answer: policies::Answer,
     },
+    /// Where a keeper hears, said ahead of the word that it leads: it may have come since whoever asks was started.
+    At {
+        keeper: Id,
+        address: SocketAddr,
+    },
+}
+
+/// Keepers that an instance knows, at the most: those of its own file, and those that came later.
+const KNOWN: usize = 32;
+
+/// Takes over where a keeper hears, said by one that is known. True where it was not known.
+pub fn learns(known: &mut HashMap<Id, SocketAddr>, said_by: SocketAddr, keeper: Id, at: SocketAddr) -> bool {
+    let trusted = known.values().any(|address| *address == said_by);
+    if !trusted || known.contains_key(&keeper) || known.len() >= KNOWN {
+        return false;
+    }
+    known.insert(keeper, at);
+    true
 }
 
 /// For all questions of one asker; a quorum that does not answer by then counts as none.
@@ -42,17 +60,21 @@
 }
 
 /// Asks the keeper that leads, for a command of an operator.
-pub struct Asker<'a> {
+pub struct Asker {
     socket: UdpSocket,
-    keepers: &'a Keepers,
+    /// Those of the file, and those that came later.
+    keepers: HashMap<Id, SocketAddr>,
+    order: Vec<Id>,
     at: usize,
     until: Instant,
 }
 
-impl<'a> Asker<'a> {
-    pub fn new(keepers: &'a Keepers) -> io::Result<Asker<'a>> {
+impl Asker {
+    pub fn new(keepers: &Keepers) -> io::Result<Asker> {
         let socket = UdpSocket::bind(keepers.from())?;
-        Ok(Asker { socket, keepers, at: 0, until: Instant::now() + PATIENCE })
+        let order = keepers.all.iter().map(|(name, _)| id(name)).collect();
+        let until = Instant::now() + PATIENCE;
+        Ok(Asker { socket, keepers: keepers.addresses(), order, at: 0, until })
     }
 
     /// Its patience begins anew: for a command that looks again and again.
@@ -62,24 +84,32 @@
 
     /// The answer that fits, from the keeper that leads.
     pub fn ask<T>(&mut self, ask: &Wire, read: impl Fn(Wire) -> Heard<T>) -> io::Result<Option<T>> {
-        let addresses: HashMap<Id, SocketAddr> = self.keepers.addresses();
         let mut bytes = vec![0; letter::LONGEST + 1];
         let Some(datagram) = letter::write(ask) else { return Ok(None) };
         while Instant::now() < self.until {
-            let (_, to) = &self.keepers.all[self.at % self.keepers.all.len()];
-            let _ = self.socket.send_to(&datagram, to);
+            let to = self.order.get(self.at % self.order.len().max(1)).and_then(|id| self.keepers.get(id));
+            if let Some(to) = to {
+                let _ = self.socket.send_to(&datagram, to);
+            }
             self.socket.set_read_timeout(Some(TRY))?;
-            let Ok((size, _)) = self.socket.recv_from(&mut bytes) else {
+            let Ok((size, by)) = self.socket.recv_from(&mut bytes) else {
                 self.at += 1;
                 continue;
             };
-            let Ok(wire) = letter::read::<Wire>(&bytes[..size]) else { continue };
+            let wire = match letter::read::<Wire>(&bytes[..size]) {
+                Ok(Wire::At { keeper, address }) => {
+                    if learns(&mut self.keepers, by, keeper, address) {
+                        self.order.push(keeper);
+                    }
+                    continue;
+                }
+                Ok(wire) => wire,
+                Err(_) => continue,
+            };
             match read(wire) {
                 Heard::Fits(answer) => return Ok(Some(answer)),
                 Heard::Elsewhere(leader) => {
-                    let led = addresses
-                        .get(&leader)
-                        .and_then(|to| self.keepers.all.iter().position(|one| one.1 == *to));
+                    let led = self.order.iter().position(|one| *one == leader);
                     if led.is_none() {
                         std::thread::sleep(TRY / 6);
                     }
--- a/server/src/rolling/member.rs
+++ b/server/src/rolling/member.rs
@@ -4,7 +4,7 @@
 use super::{check, Policy, Rollout};
 use crate::core::Note;
 use crate::log;
-use crate::owning::wire::Wire;
+use crate::owning::wire::{learns, Wire};
 use crate::owning::{self, drawn, Keepers, Steady};
 use cypresscleat_quorum::letter;
 use cypresscleat_rollout::member::{Event, Member};
@@ -182,13 +182,19 @@
                 }
                 got = self.socket.recv_from(&mut bytes) => got,
             };
-            let Ok((size, _)) = got else { continue }; // word of an earlier datagram that found nobody
-            if let Ok(Wire::PolicyAnswer { from, answer }) = letter::read::<Wire>(&bytes[..size]) {
-                self.member.seen = gate.seen.get();
-                let asks = self.member.hear(self.clock.now(), from, answer);
-                self.gate.follow(&self.member);
-                self.post(asks);
-                self.events().await;
+            let Ok((size, by)) = got else { continue }; // word of an earlier datagram that found nobody
+            match letter::read::<Wire>(&bytes[..size]) {
+                Ok(Wire::PolicyAnswer { from, answer }) => {
+                    self.member.seen = gate.seen.get();
+                    let asks = self.member.hear(self.clock.now(), from, answer);
+                    self.gate.follow(&self.member);
+                    self.post(asks);
+                    self.events().await;
+                }
+                Ok(Wire::At { keeper, address }) if learns(&mut self.to, by, keeper, address) => {
+                    self.member.learns(keeper);
+                }
+                _ => {}
             }
         }
         gate.left.notify_one();
--- a/server/tests/wire.rs
+++ b/server/tests/wire.rs
@@ -83,3 +83,21 @@
         let _ = Agreed::from_image(&both.image()[..cut]); // nothing panics
     }
 }
+
+/// Where a keeper hears is believed of one that is known only, and no list grows without end.
+#[test]
+fn where_a_keeper_hears_is_learnt_from_known_ones_only() {
+    use cypresscleat_server::owning::wire::learns;
+    use std::collections::HashMap;
+    use std::net::SocketAddr;
+    let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let mut known = HashMap::from([(1, at(1))]);
+    assert!(!learns(&mut known, at(9), 2, at(2)), "said by a stranger");
+    assert!(learns(&mut known, at(1), 2, at(2)));
+    assert!(!learns(&mut known, at(1), 2, at(3)), "one that is known stays where the file says");
+    assert_eq!(known[&2], at(2));
+    for keeper in 3..100 {
+        learns(&mut known, at(1), keeper, at(keeper as u16));
+    }
+    assert_eq!(known.len(), 32);
+}
