Closes look first and linger; a notice before the kernel counts; reports back off apart

Half a message counted as rest as well. - a whole invocation read ahead of a breach got no answer (core.rs arrived(): peer.shut), and the close was a reset. - after a notice to leave before the kernel was up, a kernel that came up within its grace found a module that did not know of the notice (core.rs booted()), and the drain's end was taken back (on_time()). - answers into closing connections past 64 were forgotten within their second: their invocations, sent again, ran twice. - a call written to a pooled connection whose close had come but not been told by the event loop counted as perhaps run (calls/ledger.rs carry()); the dial of a kernel that never answers went on for its second after SIGHUP had moved it. - connections in line with whole requests were reset when the program dropped its listener; SIGTERM before the listener stood ended the program by signal. Change: a connection asked to close reads what stands in its socket first and stays if anything does; closes linger (300 ms, 64 KiB, a sixteenth of the places, the oldest ends first); the line is taken before the listener goes; reports to a lost roster back off to 0.8 s with a half by chance; one line says when the start was ready, or what it waits for.

--- a/server/src/calls/ledger.rs
+++ b/server/src/calls/ledger.rs
@@ -8,6 +8,7 @@
 use crate::lines::{self, NextReply, Reply};
 use crate::log;
 use crate::pool::{Buf, SIZE};
+use crate::sockets::look;
 use cypresscleat::api::Outcome;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
@@ -137,13 +138,23 @@
     let _ = stream.set_nodelay(true);
     let mut buf = shared.pool.take();
     let mut heard = Instant::now();
-    let (mut sent, mut foreign) = (0, 0);
+    let (mut sent, mut foreign, mut rested) = (0, 0, false);
     loop {
         if line.closed.get() {
             return Ok(());
         }
         let waits = line.call.borrow().is_some();
         let rest = line.call.borrow().as_ref().map_or(0, |call| call.text.len() - sent);
+        // Guards a call on a connection that rested: where it has been closed meanwhile, or noise stands on it, the call is not
+        // written, so it is known not to have run, and may be made again whatever its effect.
+        if rest > 0 && sent == 0 && rested {
+            rested = false;
+            match look(stream, buf.spare()) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+                Ok(_) => return Err(ErrorKind::UnexpectedEof.into()),
+            }
+        }
         if rest > 0 {
             let many = line.call.borrow().as_ref().map(|call| stream.try_write(&call.text[sent..]));
             match many {
@@ -186,7 +197,7 @@
                             reply.push(body);
                             reply
                         });
-                        (sent, foreign, *written) = (0, 0, false);
+                        (sent, foreign, rested, *written) = (0, 0, true, false);
                         let _ = queue.send(Note::Called { txn, number, how, reply }).await;
                         if buf.len() > at + size || place.ledger.get() != Some(line.address) {
                             return Ok(()); // more than is its own, or the ledger has moved
--- a/server/src/core.rs
+++ b/server/src/core.rs
@@ -8,6 +8,7 @@
 use crate::lines::{self, Notice};
 use crate::log;
 use crate::pool::{Buf, Outbox, Pool};
+use crate::ready::Ready;
 use crate::rolling::gate::Gate;
 use cypresscleat::api::*;
 use cypresscleat::Brain;
@@ -34,9 +35,11 @@
 const GAUGES_AGE: Time = 200 * MS;
 /// A call is given up from here when its reply is this late: the ledger tells of its end by itself.
 const CALL_MARGIN: Time = 50 * MS;
-/// Answers sent into a closing connection are kept this long, and so many: the invocation may come again.
+/// Answers sent into a closing connection are kept this long, and so many with their bodies: the invocation may come again. Of
+/// more, so many in all, it is known that they were answered.
 const RESENT_WITHIN: Time = 1000 * MS;
 const RESENT_MOST: usize = 64;
+const RESENT_KNOWN: usize = 4096;
 /// While the store can't keep anything and nothing may be served without, callers are to come back after this long.
 const STORE_BACK: Time = 1000 * MS;
 /// While this instance is out of service, or has no room for what it holds, callers are to come back after this long.
@@ -228,6 +231,7 @@
     pool: Rc<Pool>,
     counters: Rc<Counters>,
     voice: Rc<Voice>,
+    ready: Rc<Ready>,
     calls_to: Rc<Commands>,
     kernel: Kernel,
     index: HashMap<Txn, Inv>,
@@ -260,6 +264,8 @@
 pub struct Core {
     brain: Option<Brain>,
     settings: Settings,
+    /// When the notice to leave came, and how long after it the process is stopped.
+    leaves: Option<(Time, Time)>,
     /// When a drain's grace is over.
     closes_at: Time,
     /// Read and not admitted yet, while a change of policy stops all for a moment.
@@ -277,11 +283,13 @@
     pub counters: Rc<Counters>,
     pub voice: Rc<Voice>,
     pub calls: Rc<Commands>,
+    pub ready: Rc<Ready>,
 }
 
 impl Shared {
     pub fn new(buffers: usize) -> Shared {
         Shared {
+            ready: Ready::new(std::time::Instant::now()),
             pool: Pool::new(buffers),
             counters: Rc::default(),
             voice: Rc::new(Voice {
@@ -299,12 +307,13 @@
 
 impl Core {
     pub fn new(settings: Settings, names: Rc<Names>, shared: &Shared) -> Core {
-        let Shared { pool, counters, voice, calls: calls_to } = shared.clone();
+        let Shared { pool, counters, voice, calls: calls_to, ready } = shared.clone();
         let mut side = Side {
             names,
             pool,
             counters,
             voice,
+            ready,
             calls_to,
             kernel: Kernel { out: None, told: 0, read: 0 },
             index: HashMap::new(),
@@ -332,7 +341,16 @@
             side.keeping.insert(Keeping::in_memory()).unread = unread(&settings);
         }
         let own = settings.pools.clone();
-        Core { brain: None, settings, closes_at: Time::MAX, held: VecDeque::new(), policy: None, own, side }
+        Core {
+            brain: None,
+            settings,
+            leaves: None,
+            closes_at: Time::MAX,
+            held: VecDeque::new(),
+            policy: None,
+            own,
+            side,
+        }
     }
 
     /// Runs go to workers; to be said before the first message.
@@ -426,6 +444,7 @@
             Note::Gate => self.gate(unix),
             Note::Leave { within } => {
                 self.side.voice.on.set(false);
+                self.leaves = Some((now, within));
                 self.closes_at = now + self.settings.drain_grace;
                 self.side.voice.closing.set(self.brain.is_none()); // nothing to wait for
                 self.side.owes();
@@ -489,7 +508,9 @@
             }
         }
         self.side.answered.retain(|answered| answered.until > now);
-        self.side.voice.closing.set(now >= self.closes_at);
+        if now >= self.closes_at {
+            self.side.voice.closing.set(true);
+        }
         let unix = self.side.unix;
         if let Some(keeping) = self.side.keeping.as_mut() {
             keeping.expire(unix);
@@ -513,7 +534,15 @@
     fn arrived(&mut self, unix: Time, peer: Rc<Peer>, stream: u32, read: Result<Invocation, String>) {
         let side = &mut self.side;
         peer.queued.set(peer.queued.get().saturating_sub(1));
-        if peer.gone.get() || peer.shut.get() {
+        if peer.gone.get() {
+            return;
+        }
+        // It came whole, ahead of what ended its connection: an answer is owed, a run is not.
+        if peer.shut.get() {
+            if stream > peer.last.replace(stream.max(peer.last.get())) {
+                add(&side.counters.errored);
+                peer.wire.fault(&peer.out, stream, Fault::Malformed);
+            }
             return;
         }
         let counters = side.counters.clone();
@@ -541,8 +570,10 @@
     fn admits_held(&mut self, unix: Time) {
         for (_, peer, stream, read) in std::mem::take(&mut self.held) {
             peer.queued.set(peer.queued.get().saturating_sub(1));
-            if !peer.gone.get() && !peer.shut.get() {
-                self.admits(unix, peer, stream, read);
+            match (peer.gone.get(), peer.shut.get()) {
+                (true, _) => {}
+                (false, true) => peer.wire.fault(&peer.out, stream, Fault::Malformed),
+                (false, false) => self.admits(unix, peer, stream, read),
             }
         }
     }
@@ -795,8 +826,14 @@
         let settings = Settings { cold, ..self.settings.clone() };
         let now = self.side.now;
         log!("kernel up for {} ms, {}", age / MS, if cold { "cold" } else { "warm" });
-        self.brain = Some(Brain::start(now - age, settings, &mut self.side));
+        let mut brain = Brain::start(now - age, settings, &mut self.side);
         self.side.wake_at = now;
+        // The notice came before the kernel was up: it holds for what comes now.
+        if let Some((at, within)) = self.leaves {
+            brain.leaving(at, within, &mut self.side);
+        }
+        self.brain = Some(brain);
+        self.side.ready.kernel();
     }
 
     /// The run is over: the first answer to its invocation, if none was given, is how it ended.
@@ -983,7 +1020,16 @@
             kept.push(body);
             let until = self.now + RESENT_WITHIN;
             self.answered.push_back(Answered { txn, said, peer, until, how, body: kept });
-            if self.answered.len() > RESENT_MOST {
+            // Guards the memory against a crowd that closes at once, and effects against a second run: one whose body had to go is
+            // errored when it comes again.
+            if let Some(at) = self.answered.len().checked_sub(RESENT_MOST + 1) {
+                let old = &mut self.answered[at];
+                old.body.give_back();
+                if old.how == How::Succeeded {
+                    old.how = How::Errored(Cause::Failed);
+                }
+            }
+            if self.answered.len() > RESENT_KNOWN {
                 self.answered.pop_front();
             }
         }
--- a/server/src/counters.rs
+++ b/server/src/counters.rs
@@ -21,6 +21,7 @@
 
 counters! {
     connections: "connections accepted",
+    accept_errors: "connections that could not be accepted, as for want of descriptors",
     idle_closed: "closed for idling, at the module's word or to make room",
     stuck_closed: "closed as the peer read nothing",
     silent_closed: "closed as no whole frame came in time",
--- a/server/src/fronts/frames.rs
+++ b/server/src/fronts/frames.rs
@@ -7,6 +7,7 @@
 use crate::counters::add;
 use crate::frames::{self, Next};
 use crate::pool::{Buf, Outbox, SIZE};
+use crate::sockets::{linger, look};
 use cypresscleat_settings::Names;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, ErrorKind};
@@ -108,15 +109,22 @@
 
 /// Reads and writes one connection until it ends. After its end of input, or once it broke the protocol and
 /// is read no more, what is open on it is still answered.
-pub async fn carry(front: &Front, names: &Names, stream: &TcpStream, conn: &Conn) -> io::Result<()> {
+pub async fn carry(front: &Front, names: &Names, stream: &mut TcpStream, conn: &Rc<Conn>) -> io::Result<()> {
     let (peer, pool) = (&conn.peer, &front.shared.pool);
     let mut reader = Reader { kept: None, ended: false };
     loop {
         peer.out.flush(|bytes| stream.try_write(bytes))?;
-        let over = reader.ended || peer.shut.get();
-        if conn.kill.get() || over && peer.is_idle() {
+        if conn.kill.get() {
             return Ok(());
         }
+        let over = reader.ended || peer.shut.get();
+        if over && peer.is_idle() {
+            break;
+        }
+        if conn.gives_way.take() && !over {
+            give_way(front, names, stream, conn, &mut reader).await?;
+            continue;
+        }
         let writes = !peer.out.is_empty();
         let reads = !reader.ended && !peer.shut.get() && peer.out.len() < BEHIND;
         let room = reader.kept.is_some() || pool.has_room();
@@ -126,26 +134,69 @@
             ready = stream.readable(), if reads && room => {
                 ready?;
                 let mut buf = reader.kept.take().unwrap_or_else(|| pool.take());
-                match stream.try_read(buf.spare()) {
-                    Ok(0) => reader.ended = true,
-                    Ok(many) => {
-                        buf.filled(many);
-                        take(front, names, conn, &mut buf).await;
-                    }
-                    Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                    Err(error) => return Err(error),
-                }
-                conn.half_since.set(match conn.half_since.get() {
-                    _ if buf.is_empty() => None,
-                    since => since.or(Some(front.clock.now())),
-                });
-                if !buf.is_empty() {
-                    reader.kept = Some(buf);
-                }
+                let read = stream.try_read(buf.spare());
+                reads_on(front, names, conn, &mut reader, buf, read).await?;
             }
             () = tokio::time::sleep(NO_ROOM), if reads && !room => {}
         }
     }
+    if reader.ended {
+        return Ok(()); // nothing can stand unread
+    }
+    front.lingers(conn);
+    linger(stream, &peer.out.wake, || conn.kill.get()).await
+}
+
+/// What a read brought; whether it brought anything.
+async fn reads_on(
+    front: &Front,
+    names: &Names,
+    conn: &Conn,
+    reader: &mut Reader,
+    mut buf: Buf,
+    read: io::Result<usize>,
+) -> io::Result<bool> {
+    let brought = matches!(read, Ok(1..));
+    match read {
+        Ok(0) => reader.ended = true,
+        Ok(many) => {
+            buf.filled(many);
+            take(front, names, conn, &mut buf).await;
+        }
+        Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+        Err(error) => return Err(error),
+    }
+    conn.half_since.set(match conn.half_since.get() {
+        _ if buf.is_empty() => None,
+        since => since.or(Some(front.clock.now())),
+    });
+    if !buf.is_empty() {
+        reader.kept = Some(buf);
+    }
+    Ok(brought)
+}
+
+/// It is asked to close: not with something unread in the socket, which the close would lose. What comes from here on crosses it,
+/// and is sent again by the protocol.
+async fn give_way(
+    front: &Front,
+    names: &Names,
+    stream: &TcpStream,
+    conn: &Conn,
+    reader: &mut Reader,
+) -> io::Result<()> {
+    let peer = &conn.peer;
+    let mut buf = reader.kept.take().unwrap_or_else(|| front.shared.pool.take());
+    let read = look(stream, buf.spare());
+    let brought = reads_on(front, names, conn, reader, buf, read).await?;
+    if brought || reader.ended || peer.shut.get() || !(peer.is_idle() || peer.told.get().is_some()) {
+        front.left.notify_one(); // whoever waits for its place looks for another
+        return Ok(());
+    }
+    add(&front.shared.counters.idle_closed);
+    peer.tell(front.clock.now());
+    peer.end();
+    Ok(())
 }
 
 /// Takes all whole frames from the buffer.
--- a/server/src/fronts/mod.rs
+++ b/server/src/fronts/mod.rs
@@ -14,6 +14,7 @@
 use cypresscleat::api::Time;
 use cypresscleat_settings::Names;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,6 +37,8 @@
 const NEW: Time = 100 * MS;
 const SWEEP: Duration = Duration::from_millis(50);
 const NO_ROOM: Duration = Duration::from_millis(5);
+/// The part of the connections of routers that may stand in a lingering close.
+const LINGERING: usize = 16;
 
 pub struct Conn {
     pub peer: Rc<Peer>,
@@ -44,6 +47,21 @@
     kill: Cell<bool>,
     half_since: Cell<Option<Time>>,
     written: Cell<(u64, Time)>,
+    /// It is to be closed, unless something has come on it.
+    gives_way: Cell<bool>,
+}
+
+impl Conn {
+    /// Nothing is open or under way, and none of it stands half read.
+    fn rests(&self) -> bool {
+        self.peer.is_idle() && self.half_since.get().is_none()
+    }
+    /// Asks it to close. Guards a request that came in this moment: its task looks into the socket first, and where something
+    /// stands there it stays. What comes later crosses the close.
+    fn ask_to_close(&self) {
+        self.gives_way.set(true);
+        self.peer.out.wake.notify_one();
+    }
 }
 
 /// What a front speaks.
@@ -60,24 +78,50 @@
     speaks: Speaks,
     most: usize,
     conns: RefCell<Vec<Rc<Conn>>>,
+    /// Those in a lingering close, in the order in which they began it, and how many there may be: they hold descriptors, but no
+    /// room of others.
+    lingering: RefCell<VecDeque<Rc<Conn>>>,
+    lingering_most: usize,
     left: Notify,
-    /// The grace of a drain is over.
+    /// The listener is to go, and is gone.
     closing: Notify,
+    closed: Cell<bool>,
 }
 
 impl Front {
     pub fn new(shared: &Shared, queue: Sender<Note>, clock: Clock, speaks: Speaks, most: usize) -> Rc<Front> {
-        let (shared, conns) = (shared.clone(), RefCell::default());
-        let (left, closing, most) = (Notify::new(), Notify::new(), most.max(1));
-        Rc::new(Front { shared, queue, clock, speaks, most, conns, left, closing })
+        let (shared, conns, lingering) = (shared.clone(), RefCell::default(), RefCell::default());
+        let (left, closing, closed) = (Notify::new(), Notify::new(), Cell::new(false));
+        let lingering_most = if matches!(speaks, Speaks::Frames(_)) { most / LINGERING } else { 0 };
+        let most = (most - lingering_most).max(1);
+        Rc::new(Front {
+            shared,
+            queue,
+            clock,
+            speaks,
+            most,
+            conns,
+            lingering,
+            lingering_most,
+            left,
+            closing,
+            closed,
+        })
+    }
+
+    /// Connections that take room of others.
+    fn connections(&self) -> usize {
+        self.conns.borrow().len() - self.lingering.borrow().len()
     }
 
-    pub fn connections(&self) -> usize {
-        self.conns.borrow().len()
+    /// Nobody is connected, and nobody can connect any more.
+    pub fn is_over(&self) -> bool {
+        self.closed.get() && self.conns.borrow().is_empty()
     }
 
-    /// Takes connections for as long as the listener stands. Gateways know nothing of the roster, so theirs ends with
-    /// the grace of a drain: whoever finds it closed knows that nothing ran, and asks elsewhere.
+    /// Takes connections for as long as the listener stands, which is until the grace of a drain is over. Gateways know nothing of
+    /// the roster, so theirs goes at once then: whoever finds it closed knows that nothing ran, and asks elsewhere. That of
+    /// routers goes once none is connected.
     pub async fn accept(self: Rc<Front>, listener: TcpListener) {
         loop {
             let accepted = tokio::select! {
@@ -93,19 +137,26 @@
                     }
                 }
                 Err(error) => {
+                    add(&self.shared.counters.accept_errors);
                     log!("accept: {error}");
                     tokio::time::sleep(NO_ROOM).await;
                 }
             }
         }
-        // Those that stood in line are still answered.
-        while let Ok(Ok((stream, _))) = tokio::time::timeout(NO_ROOM, listener.accept()).await {
-            if self.connections() < self.most {
-                self.serve(stream);
-            } else {
-                scgi::turn_away(&stream, &self.shared);
+        // Guards those that stood in line, perhaps with a whole request: the machine has accepted them, and would reset them when
+        // the listener goes. All are taken, with nothing between the last look into the line and its end.
+        if let Ok(listener) = listener.into_std() {
+            while let Ok((stream, _)) = listener.accept() {
+                let taken = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                let Ok(stream) = taken else { continue };
+                if self.connections() < self.most {
+                    self.serve(stream);
+                } else {
+                    scgi::turn_away(&stream, &self.shared);
+                }
             }
         }
+        self.closed.set(true);
     }
 
     /// Waits for room for one more. A router keeps its connection and waits; a gateway that finds all places taken by
@@ -131,14 +182,35 @@
             let new = now - since < if spoke { USED } else { NEW };
             (new, spoke, since)
         };
-        let idle = conns.iter().filter(|conn| conn.peer.is_idle() && !conn.peer.shut.get());
+        // Half a message is no rest, unless it has stood for long.
+        let half = |conn: &Conn| conn.half_since.get().is_some_and(|since| now - since < USED);
+        let usable = |conn: &Conn| !conn.peer.shut.get() && !conn.gives_way.get() && !half(conn);
+        let idle = conns.iter().filter(|conn| conn.peer.is_idle() && usable(conn));
         let Some(conn) = idle.min_by_key(order) else { return false };
-        add(&self.shared.counters.idle_closed);
-        conn.peer.tell(now);
-        conn.peer.end();
+        match &self.speaks {
+            Speaks::Frames(_) => conn.ask_to_close(),
+            Speaks::Scgi(_) => {
+                add(&self.shared.counters.idle_closed);
+                conn.peer.tell(now);
+                conn.peer.end();
+            }
+        }
         true
     }
 
+    /// A connection begins its lingering close; where too many do, the oldest of them ends it. Its place goes to the next.
+    fn lingers(&self, conn: &Rc<Conn>) {
+        let mut lingering = self.lingering.borrow_mut();
+        lingering.push_back(conn.clone());
+        if lingering.len() > self.lingering_most {
+            if let Some(oldest) = lingering.pop_front() {
+                oldest.kill.set(true);
+                oldest.peer.out.wake.notify_one();
+            }
+        }
+        self.left.notify_one();
+    }
+
     /// Looks at all connections from time to time: those that idle, half-sent frames, peers that never read.
     pub async fn sweep(self: Rc<Front>) {
         loop {
@@ -151,24 +223,20 @@
                 Speaks::Frames(_) => (self.shared.voice.idle.get(), SILENT),
                 Speaks::Scgi(door) => (None, door.patience()),
             };
-            if closing && matches!(self.speaks, Speaks::Scgi(_)) {
+            let conns = self.conns.borrow();
+            if closing && (conns.is_empty() || matches!(self.speaks, Speaks::Scgi(_))) {
                 self.closing.notify_one();
             }
-            let conns = self.conns.borrow();
             // Guards the room of routers against others that ask once and stay: the longest idle go first.
-            let crowd = conns.len().saturating_sub(self.most / ROUTERS);
+            let crowd = self.connections().saturating_sub(self.most / ROUTERS);
             let mut idle: Vec<&Rc<Conn>> = Vec::new();
             if crowd > 0 {
                 let old = |peer: &Peer| now - peer.active_at.get() > USED && !peer.shut.get();
-                let idles = |peer: &Peer| peer.is_idle() && peer.spoke.get() && old(peer);
-                idle.extend(conns.iter().filter(|conn| idles(&conn.peer)));
+                let idles = |conn: &Conn| conn.rests() && conn.peer.spoke.get() && old(&conn.peer);
+                idle.extend(conns.iter().filter(|conn| idles(conn)));
                 idle.sort_by_key(|conn| conn.peer.active_at.get());
             }
-            for conn in idle.into_iter().take(crowd) {
-                add(&self.shared.counters.idle_closed);
-                conn.peer.tell(now);
-                conn.peer.end();
-            }
+            idle.into_iter().take(crowd).for_each(|conn| conn.ask_to_close());
             for conn in conns.iter() {
                 let peer = &conn.peer;
                 let before = conn.written.get();
@@ -189,9 +257,11 @@
                     conn.half_since.set(None);
                     let what = if half { "half a message" } else { "nothing was sent" };
                     peer.breach(&self.shared.counters, 0, Fault::Slow, what);
+                } else if peer.told.get().is_some_and(|at| now - at > 2 * TOLD) {
+                    peer.end(); // it goes on sending
                 } else if peer.told.get().is_some_and(|at| now - at > TOLD) {
-                    peer.end();
-                } else if idles && peer.is_idle() && peer.told.get().is_none() {
+                    conn.ask_to_close();
+                } else if idles && conn.rests() && peer.told.get().is_none() {
                     add(&self.shared.counters.idle_closed);
                     peer.tell(now);
                 }
@@ -207,8 +277,9 @@
         match &self.speaks {
             Speaks::Frames(names) => {
                 let (names, conn) = (names.clone(), self.admit(Rc::new(frames::Frames)));
+                let mut stream = stream;
                 tokio::task::spawn_local(async move {
-                    let ended = frames::carry(&front, &names, &stream, &conn).await;
+                    let ended = frames::carry(&front, &names, &mut stream, &conn).await;
                     drop(stream); // its descriptor before its room
                     front.leave(&conn, ended).await;
                 });
@@ -232,6 +303,7 @@
             kill: Cell::new(false),
             half_since: Cell::new(None),
             written: Cell::new((0, now)),
+            gives_way: Cell::new(false),
         });
         self.conns.borrow_mut().push(conn.clone());
         conn
@@ -245,6 +317,7 @@
             }
         }
         self.conns.borrow_mut().retain(|other| !Rc::ptr_eq(other, conn));
+        self.lingering.borrow_mut().retain(|other| !Rc::ptr_eq(other, conn));
         self.left.notify_one();
         conn.peer.gone.set(true);
         conn.peer.out.clear();
--- a/server/src/fronts/scgi.rs
+++ b/server/src/fronts/scgi.rs
@@ -8,24 +8,19 @@
 use crate::counters::add;
 use crate::log;
 use crate::pool::{Outbox, SIZE};
+use crate::sockets::linger;
 use cypresscleat::api::Time;
 use cypresscleat_scgi::request::{self, Reader};
 use cypresscleat_scgi::{response, Bounds};
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, ErrorKind};
-use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::io::{AsyncWrite, Interest};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 /// Of what stands behind a request so much is read and dropped before its answer; then reading waits for it.
 const EXTRA: usize = 64 * 1024;
-/// What was sent and not read would make the close of its connection a reset, which may overtake the answer: it is read
-/// and dropped for so long at the most.
-const LINGER: Duration = Duration::from_millis(300);
 /// The time to come back for one that finds no room at all, in milliseconds.
 const NO_ROOM_BACK: Time = 1000 * MS;
 /// The first line of an answer to a caller that has ended its input, written before the answer is known.
@@ -346,28 +341,6 @@
     if whole || ended {
         return Ok(());
     }
-    linger(&mut stream, conn).await
-}
-
-/// Ends the output, then reads and drops what still comes, for a while.
-async fn linger(stream: &mut TcpStream, conn: &Conn) -> io::Result<()> {
-    poll_fn(|context| Pin::new(&mut *stream).poll_shutdown(context)).await?;
-    let until = tokio::time::Instant::now() + LINGER;
-    let mut left = EXTRA;
-    loop {
-        tokio::select! {
-            // A wake may be that of the answer; only an end from here ends it early.
-            () = conn.peer.out.wake.notified() => if conn.peer.shut.get() { return Ok(()) } else { continue },
-            () = tokio::time::sleep_until(until) => return Ok(()),
-            ready = stream.readable() => ready?,
-        }
-        let mut dropped = [0; 4096];
-        match stream.try_read(&mut dropped) {
-            Ok(0) => return Ok(()),
-            Ok(many) if many < left => left -= many,
-            Ok(_) => return Ok(()),
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-            Err(error) => return Err(error),
-        }
-    }
+    // A wake may be that of the answer; only an end from here ends it early.
+    linger(&mut stream, &peer.out.wake, || peer.shut.get()).await
 }
--- a/server/src/kernel.rs
+++ b/server/src/kernel.rs
@@ -27,8 +27,13 @@
     let mut reached = true;
     loop {
         let address = at.kernel.get();
-        let connected = timeout(CONNECT, TcpStream::connect(address)).await;
-        let stream = match connected.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
+        let dials = async { timeout(CONNECT, TcpStream::connect(address)).await };
+        let connected = tokio::select! {
+            connected = dials => connected.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())),
+            // Somebody who never answers is dialled no longer than the kernel is there.
+            () = moves(&at, address) => continue,
+        };
+        let stream = match connected {
             Ok(stream) => stream,
             Err(error) => {
                 if std::mem::take(&mut reached) {
@@ -56,6 +61,13 @@
     }
 }
 
+/// Comes back once the kernel is somewhere else.
+async fn moves(at: &Addresses, address: SocketAddr) {
+    while at.kernel.get() == address {
+        at.kernel_moved.notified().await;
+    }
+}
+
 struct Link {
     at: Rc<Addresses>,
     shared: Shared,
@@ -85,10 +97,7 @@
             tokio::select! {
                 () = out.wake.notified() => continue,
                 // Its runs and the numbers of its notices go on at the new address.
-                () = self.at.kernel_moved.notified() => match self.at.kernel.get() {
-                    now if now != address => return Err(broken("it has moved")),
-                    _ => continue,
-                },
+                () = moves(&self.at, address) => return Err(broken("it has moved")),
                 ready = stream.writable(), if !out.is_empty() => { ready?; continue }
                 () = sleep_until(heard + SILENT), if self.up => return Err(ErrorKind::TimedOut.into()),
                 ready = stream.readable() => ready?,
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod owning;
 pub mod plan;
 pub mod pool;
+pub mod ready;
 pub mod recovery;
 pub mod rolling;
 pub mod roster;
--- a/server/src/main.rs
+++ b/server/src/main.rs
@@ -17,6 +17,7 @@
 use cypresscleat_server::fronts::{Front, Speaks};
 use cypresscleat_server::lines::Notice;
 use cypresscleat_server::operator::{self, Operator};
+use cypresscleat_server::ready::Ready;
 use cypresscleat_server::rolling::{self, member, Policy};
 use cypresscleat_server::{kernel, log, owning, plan, pool, recovery, roster};
 use cypresscleat_settings::Names;
@@ -70,8 +71,10 @@
         Task::Forward { operator } => (Some(operator), Role::Forwarder),
         Task::Plan { operator } => (Some(operator), Role::Planner),
     };
+    let started = std::time::Instant::now();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ended = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, start(operator, role)));
+    let ended =
+        runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, start(started, operator, role)));
     match ended {
         Ok(code) => code,
         Err(error) => {
@@ -95,9 +98,16 @@
     ExitCode::from(code)
 }
 
-/// The signal to read the configuration again ends the program unless it is listened for: first of all.
-async fn start(path: Option<PathBuf>, role: Role) -> io::Result<ExitCode> {
-    let hup = signal(SignalKind::hangup())?;
+/// What stands from the first moment on.
+struct Begun {
+    started: std::time::Instant,
+    hup: Signal,
+    term: Signal,
+}
+
+/// The signals to read the configuration again and to leave end the program unless they are listened for: first of all.
+async fn start(started: std::time::Instant, path: Option<PathBuf>, role: Role) -> io::Result<ExitCode> {
+    let begun = Begun { started, hup: signal(SignalKind::hangup())?, term: signal(SignalKind::terminate())? };
     let config = match config::read() {
         Ok(config) => config,
         Err(what) => {
@@ -136,7 +146,7 @@
         );
         return Ok(ExitCode::from(2));
     }
-    serve(config, hup, operator, path, role).await.map(|()| ExitCode::SUCCESS)
+    serve(config, begun, operator, path, role).await.map(|()| ExitCode::SUCCESS)
 }
 
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
@@ -231,12 +241,11 @@
 
 async fn serve(
     config: Config,
-    mut hup: Signal,
+    Begun { started, mut hup, mut term }: Begun,
     operator: Operator,
     path: Option<PathBuf>,
     role: Role,
 ) -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
     let mut usr1 = signal(SignalKind::user_defined1())?;
     let (queue, notes) = channel(QUEUE);
     // Before anybody can be served.
@@ -254,7 +263,8 @@
     }
     let listener = listen(config.listen)?;
     log!("{} listens on {}", config.name, listener.local_addr()?);
-    let shared = Shared::new((config.memory_mb << 20) as usize / BUFFERS as usize / pool::SIZE);
+    let buffers = (config.memory_mb << 20) as usize / BUFFERS as usize / pool::SIZE;
+    let shared = Shared { ready: Ready::new(started), ..Shared::new(buffers) };
     let clock = Clock::start();
     let calls = config.sockets / CALLS;
     let names = Rc::new(config.names.clone());
@@ -328,7 +338,10 @@
         }
     };
     let mut followed = Followed { path, names: names.clone(), now: operator, door, backend: place };
-    spawn_local(roster::report(addresses.clone(), config.name.clone(), shared.clone()));
+    let seed = settings.seed;
+    spawn_local(roster::report(addresses.clone(), config.name.clone(), seed, shared.clone()));
+    shared.ready.listens(config.roster.is_some());
+    spawn_local(shared.ready.clone().watch());
     let mut core = Core::new(settings, names, &shared);
     if let Some(fleet) = fleet {
         core.forward(fleet);
@@ -390,7 +403,7 @@
 
 /// The one task that owns the module: its timer first, then the queue. Ends once a drain is done.
 async fn run(mut core: Core, mut notes: Receiver<Note>, clock: Clock, fronts: Vec<Rc<Front>>) {
-    while !(core.is_done() && fronts.iter().all(|front| front.connections() == 0)) {
+    while !(core.is_done() && fronts.iter().all(|front| front.is_over())) {
         let due = clock.instant(core.wake_at().min(clock.now() + LOOK));
         tokio::select! {
             biased;
--- a/server/src/roster.rs
+++ b/server/src/roster.rs
@@ -6,21 +6,33 @@
 use crate::http;
 use crate::log;
 use crate::sockets::write_all;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// An entry lapses 3 s after its last report: two lost ones leave time for a third.
 const EVERY: Duration = Duration::from_millis(700);
-const AGAIN: Duration = Duration::from_millis(100);
 const ANSWER: Duration = Duration::from_millis(700);
+/// Backoff after a lost report: doubled with each up to the most, and of that a half to the whole by chance. A roster that returns
+/// hears of each server within `ANSWER` and the most, 1.5 s, and not of all at once.
+const AGAIN: Duration = Duration::from_millis(100);
+const AGAIN_MOST: Duration = Duration::from_millis(800);
+
+/// How long to wait after so many lost reports in a row.
+pub fn backoff(seed: u64, lost: u32) -> Duration {
+    let mut hasher = DefaultHasher::new();
+    (seed, "roster", lost).hash(&mut hasher);
+    let part = 0.5 + (hasher.finish() >> 11) as f64 / (1u64 << 54) as f64;
+    AGAIN.saturating_mul(1 << lost.saturating_sub(1).min(16)).min(AGAIN_MOST).mul_f64(part)
+}
 
-pub async fn report(at: Rc<Addresses>, name: String, shared: Shared) {
+pub async fn report(at: Rc<Addresses>, name: String, seed: u64, shared: Shared) {
     let mut stream: Option<TcpStream> = None;
-    let mut heard = true;
+    let mut lost_in_a_row = 0;
     let mut told = None;
     loop {
         let Some(address) = at.roster.get() else {
@@ -34,7 +46,8 @@
         match timeout(ANSWER, tell(stream.take(), address, text.as_bytes())).await {
             Ok(Ok(kept)) => {
                 add(&shared.counters.reports);
-                if !std::mem::replace(&mut heard, true) {
+                shared.ready.reports();
+                if std::mem::take(&mut lost_in_a_row) > 0 {
                     log!("the roster answers again");
                 }
                 stream = kept;
@@ -42,14 +55,16 @@
             }
             lost => {
                 add(&shared.counters.reports_lost);
-                if std::mem::take(&mut heard) {
+                lost_in_a_row += 1;
+                if lost_in_a_row == 1 {
                     let why = match lost {
                         Ok(Err(error)) => error.to_string(),
                         _ => "no answer in time".to_string(),
                     };
                     log!("a report to the roster at {address} was lost: {why}; trying on");
                 }
-                sleep(AGAIN).await;
+                // One that has moved is told at once.
+                let _ = timeout(backoff(seed, lost_in_a_row), at.roster_moved.notified()).await;
             }
         }
     }
--- a/server/tests/core.rs
+++ b/server/tests/core.rs
@@ -236,3 +236,29 @@
     }
     assert!(files.len() > 5);
 }
+
+/// More answers into connections that close than are kept with their bodies: what comes again is never run again.
+#[test]
+fn what_was_answered_into_a_crowd_that_closes_is_not_run_again() {
+    let mut play = Play::start(&[r#"/settings/categories/1/effect "fragile""#]);
+    play.line(r#"0 kernel {"msg":"BOOTED","how":"WARM","duration":60000}"#);
+    play.line("0 link");
+    let result = r#""how":"OK","duration":5,"blob":"cmVzdWx0""#;
+    for number in 1..=70 {
+        let at = number * 10;
+        play.line(&format!("{at} a{number} sends 1 {number}"));
+        play.line(&format!("{at} a{number} told"));
+        play.line(&format!(
+            r#"{} kernel {{"msg":"REAP","serial":{number},"call":"{number:0>16}",{result}}}"#,
+            at + 5
+        ));
+        play.line(&format!("expect a{number} 1 succeeded result"));
+    }
+    // The oldest has lost its body, the newest has not.
+    play.line("710 b sends 1 1");
+    play.line("expect b 1 errored");
+    play.line("refuse kernel SCHED 1");
+    play.line("710 b sends 2 70");
+    play.line("expect b 2 succeeded result");
+    play.line("owed 0");
+}
