A cold server tells its callers no more than it survives, all of them together

Need: a cold server is to hold against the sum of what all processes send, also 20 or 30 of them. Seen: advertise() told each caller 2 (OUT_EACH) whatever the server survives: 48 in all with 24 callers and 6 cores of which a cold one (0.2 of its speed, tip 8) survives 14; the sum grows with the number of callers.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -621,9 +621,7 @@
 
     fn fill(&mut self, now: Time, host: &mut dyn Host) {
         let parked = self.active.len() - self.running;
-        let cold = (self.warm_at - now).max(0) as f64 / self.cold_for;
-        let speed = 1.0 - (1.0 - self.cold_from) * cold; // surely reached
-        let survivable = (self.cores * (1.0 + (self.tip - 1.0) * speed) * SURVIVE).max(1.01); // one always is
+        let survivable = (self.survivable(now) * SURVIVE).max(1.01); // one always is
         while !self.held.is_empty()
             && (self.running as f64) < self.cap.min(self.granted.unwrap_or(f64::INFINITY))
             && ((self.active.len() + 1) as f64) < survivable
@@ -955,6 +953,17 @@
         }
     }
 
+    /// What may be on the cores at once, by the speed that is surely reached.
+    fn survivable(&self, now: Time) -> f64 {
+        let cold = (self.warm_at - now).max(0) as f64 / self.cold_for;
+        self.cores * (1.0 + (self.tip - 1.0) * (1.0 - (1.0 - self.cold_from) * cold))
+    }
+
+    /// While it is cold: what all callers together may have here.
+    pub fn ramp(&self, now: Time) -> Option<f64> {
+        (now < self.warm_at).then(|| self.survivable(now))
+    }
+
     /// Time the line takes to start, at the present pace.
     fn wait(&self) -> f64 {
         self.line * self.pace / self.cap
@@ -1074,6 +1083,8 @@
         }
         let out = self.held.len() + self.active.len();
         let (least, most) = (self.cores * OUT_LEAST, (self.cores * OUT_MOST).max(self.callers * OUT_EACH));
+        // Guards a cold server against the sum of its callers; may hurt where few of many callers come at once.
+        let most = most.min(self.ramp(now).unwrap_or(most)).max(least);
         let target =
             if pressed { self.out_most.min(out as f64) * OUT_FALL } else { self.out_most * OUT_RISE };
         self.out_most = target.clamp(least, most);
