A cold worker promises its places itself, so all forwarders together stay in its budget

Seen: Routes gives a cold worker half its places from each forwarder, but server/src/forward/fleet.rs look() never said that one is cold (Time::MIN); each forwarder took one place at least (Mode::alone). Change: tier/src/ramp.rs: the worker, who alone knows budget and senders, promises whole places in the answer to a forwarder's health check, charges them in full with what that one has out, for longer than they hold; a forwarder uses no earlier promise while it asks, and asks again at once when a connection to the worker ends. No sender has to know of another, so cuts change nothing. Routers see no such field. What callers on the platform are told is tested for 1, 8 and 30 of them. Planned places at other workers are unchanged.

--- a/examples/src/split.rs
+++ b/examples/src/split.rs
@@ -29,7 +29,7 @@
         ));
         std::fs::create_dir_all(&folder).expect("a folder");
         let workers: Vec<Worker> =
-            (0..WORKERS).map(|at| worker(program, config, &format!("w{at}"), None)).collect();
+            (0..WORKERS).map(|at| worker(program, config, &format!("w{at}"), None, "WARM")).collect();
         let nobody: Vec<SocketAddr> = (0..8).map(|_| free_port()).collect();
         let (planners, keepers) = ([free_port(), free_port()], [free_port(), free_port(), free_port()]);
         let list = |all: &[SocketAddr], letter: &str, rest: &str| {
--- a/examples/src/tier.rs
+++ b/examples/src/tier.rs
@@ -41,7 +41,8 @@
     worker_at: Vec<SocketAddr>,
 }
 
-pub fn worker(program: &Path, config: &str, name: &str, listen: Option<SocketAddr>) -> Worker {
+/// `how` its kernel comes up, `WARM` or `COLD`; a cold one has a quarter of its speed.
+pub fn worker(program: &Path, config: &str, name: &str, listen: Option<SocketAddr>, how: &str) -> Worker {
     let place = Place::start_with(program, config, "", |all| {
         all["name"] = json!(name);
         all["customers"] = json!([]);
@@ -53,10 +54,10 @@
         all["listen"] = json!(listen.unwrap_or_else(free_port).to_string());
     });
     let (mut kernel, _) = Kernel::accept(&place.kernel);
-    kernel.boot("WARM");
+    kernel.boot(how);
     place.logged("kernel up");
     let ran: Arc<Mutex<Vec<String>>> = Arc::default();
-    run_cores(kernel, f64::from(CORES), work, ran.clone());
+    run_cores(kernel, f64::from(CORES) * if how == "COLD" { 0.25 } else { 1.0 }, work, ran.clone());
     Worker { place, ran }
 }
 
@@ -75,7 +76,7 @@
     /// Workers only, and planners that somebody else plays.
     pub fn workers(program: &Path, config: &str, planner_at: Vec<SocketAddr>, workers: usize) -> Levels {
         let all: Vec<Worker> =
-            (0..workers).map(|at| worker(program, config, &format!("w{at}"), None)).collect();
+            (0..workers).map(|at| worker(program, config, &format!("w{at}"), None, "WARM")).collect();
         Levels {
             program: program.to_path_buf(),
             config: config.to_string(),
@@ -122,7 +123,11 @@
     }
 
     pub fn restart_worker(&mut self, at: usize) {
-        let worker = worker(&self.program, &self.config, &format!("w{at}"), Some(self.worker_at[at]));
+        self.restart_worker_as(at, "WARM");
+    }
+
+    pub fn restart_worker_as(&mut self, at: usize, how: &str) {
+        let worker = worker(&self.program, &self.config, &format!("w{at}"), Some(self.worker_at[at]), how);
         self.workers[at] = Some(worker);
     }
 
--- a/examples/src/toy.rs
+++ b/examples/src/toy.rs
@@ -363,7 +363,7 @@
 fn two_levels(program: &Path, config: &str, seconds: u64, kill: bool) -> ExitCode {
     let mut levels = Levels::start(program, config, 2, 2, 3);
     let alone: Vec<Worker> =
-        (0..3).map(|at| tier::worker(program, config, &format!("alone{at}"), None)).collect();
+        (0..3).map(|at| tier::worker(program, config, &format!("alone{at}"), None, "WARM")).collect();
     for forwarder in levels.forwarders.iter().flatten() {
         (0..3).for_each(|_| println!("{}", forwarder.logged("takes work")));
     }
@@ -429,8 +429,9 @@
             split.workers.iter().flat_map(|worker| worker.ran.lock().expect("the list").clone()).collect();
         good &= row(if kept { "keepers" } else { "each by itself" }, Some(granted), &all, &ran);
     }
-    let alone: Vec<Worker> =
-        (0..split::WORKERS).map(|at| tier::worker(program, config, &format!("alone{at}"), None)).collect();
+    let alone: Vec<Worker> = (0..split::WORKERS)
+        .map(|at| tier::worker(program, config, &format!("alone{at}"), None, "WARM"))
+        .collect();
     let to: Vec<SocketAddr> = alone.iter().map(|worker| worker.place.server).collect();
     let all = tier::trickle(&to, "alone", many, gap);
     let ran: Vec<String> =
--- a/server/src/core.rs
+++ b/server/src/core.rs
@@ -63,6 +63,8 @@
     pub fit: Cell<bool>,
     /// The grace of a drain is over: connections without an open invocation are to go.
     pub closing: Cell<bool>,
+    /// What all callers together may have here, while that is less than what the module's limits let in.
+    pub ramp: Cell<Option<f64>>,
 }
 
 /// What the core wants of the tier below.
@@ -299,6 +301,7 @@
                 on: Cell::new(true),
                 fit: Cell::new(true),
                 closing: Cell::new(false),
+                ramp: Cell::new(Some(0.0)), // nothing before the kernel is up
             }),
             calls: Rc::default(),
         }
@@ -518,11 +521,18 @@
         if let Some(places) = self.side.places.as_ref().map(|places| places.granted()) {
             self.module(|brain, now, side| brain.grant(now, places, side));
         }
+        self.ramp();
         let fresh = now - self.side.gauges_at <= GAUGES_AGE;
         let gauges = if fresh { self.side.gauges } else { Gauges::default() };
         self.module(|brain, now, side| brain.tick(now, gauges, side));
     }
 
+    fn ramp(&self) {
+        if let Some(brain) = &self.brain {
+            self.side.voice.ramp.set(brain.ramp(self.side.now));
+        }
+    }
+
     fn module(&mut self, call: impl FnOnce(&mut Brain, Time, &mut Side)) {
         if let Some(brain) = self.brain.as_mut() {
             call(brain, self.side.now, &mut self.side);
@@ -834,6 +844,7 @@
         }
         self.brain = Some(brain);
         self.side.ready.kernel();
+        self.ramp();
     }
 
     /// The run is over: the first answer to its invocation, if none was given, is how it ended.
@@ -920,6 +931,7 @@
         peer.active_at.set(self.now);
         self.rec(inv).to = Some((peer, stream));
         self.owed += 1;
+        self.counters.open_most.set(self.counters.open_most.get().max(self.owed as u64));
     }
 
     /// Nothing is owed for it any more; returns to whom it was.
--- a/server/src/counters.rs
+++ b/server/src/counters.rs
@@ -28,6 +28,7 @@
     turned_away: "connections of gateways that found no room",
     checks: "health checks answered",
     invocations: "invocations taken in",
+    open_most: "the most answers that were owed at once",
     policy_held: "invocations held for a moment while a change of policy stopped all",
     policy_refused: "invocations turned away while out of service under a policy",
     tokens_refused: "invocations turned away as no more tokens could be kept",
--- a/server/src/forward/fleet.rs
+++ b/server/src/forward/fleet.rs
@@ -15,6 +15,7 @@
 use cypresscleat_tier::grants::Held;
 use cypresscleat_tier::messages::{Demand, Sight};
 use cypresscleat_tier::mode::Mode;
+use cypresscleat_tier::ramp::Promised;
 use cypresscleat_tier::retry::{Budget, Known};
 use cypresscleat_tier::routes::{End, Routes};
 use cypresscleat_tier::{id, Id};
@@ -26,6 +27,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 /// Streams on a connection, connections to a worker, and streams it is used for before another takes its place.
@@ -35,6 +37,8 @@
 const CONNECT: Duration = Duration::from_millis(500);
 /// Health of workers is asked for so often.
 const CHECK: Duration = Duration::from_millis(500);
+/// One whose connection broke is asked again after this long.
+const AGAIN: Duration = Duration::from_millis(20);
 
 struct Try {
     number: u64,
@@ -63,6 +67,10 @@
     /// What it is told to have.
     places: f64,
     good: bool,
+    /// What it promised, while it is cold.
+    promised: Option<Promised>,
+    /// Its health is to be asked for at once.
+    recheck: Rc<Notify>,
     wires: Vec<Rc<Wire>>,
     ends: f64,
     throttled: f64,
@@ -70,6 +78,7 @@
 }
 
 pub struct Fleet {
+    own: Id,
     shared: Shared,
     queue: Sender<Note>,
     clock: Clock,
@@ -133,7 +142,7 @@
     }
 
     pub fn new(
-        tier: &Tier,
+        (name, tier): (&str, &Tier),
         shared: &Shared,
         queue: Sender<Note>,
         clock: Clock,
@@ -143,13 +152,21 @@
         let now = clock.now();
         let workers = tier.workers.iter().map(|set| {
             let (address, places) = (set.address, set.places);
-            let (good, wires) = (false, Vec::new());
-            (
-                id(&set.name),
-                WorkerState { address, places, good, wires, ends: 0.0, throttled: 0.0, took: 0.0 },
-            )
+            let state = WorkerState {
+                address,
+                places,
+                good: false,
+                promised: None,
+                recheck: Rc::default(),
+                wires: Vec::new(),
+                ends: 0.0,
+                throttled: 0.0,
+                took: 0.0,
+            };
+            (id(&set.name), state)
         });
         Rc::new(Fleet {
+            own: id(name),
             shared: shared.clone(),
             queue,
             clock,
@@ -201,6 +218,8 @@
             // No planner's figure counts past what a planner may learn of a worker: twice what it is told to have.
             let places =
                 mode.places(now, &held, *worker, alone).min(state.places * cypresscleat_tier::plan::MOST);
+            // A cold one's own word counts, whoever granted more.
+            let places = state.promised.map_or(places, |promised| places.min(promised.places(now).into()));
             routes.worker(now, *worker, places, state.good, Time::MIN);
         }
         routes.tick(now);
@@ -319,8 +338,18 @@
 
     /// A connection is over: what was on it ends by what is known of it.
     fn lost(self: &Rc<Fleet>, wire: &Rc<Wire>, connected: bool, ended: io::Result<()>) {
+        let mut unasked = false;
         if let Some(state) = self.workers.borrow_mut().get_mut(&wire.worker) {
             state.wires.retain(|other| !Rc::ptr_eq(other, wire));
+            // It may have been started anew, and be cold: nothing goes there before it was asked.
+            unasked = !wire.told.get() && ended.is_err();
+            if unasked {
+                state.good = false;
+                state.recheck.notify_one();
+            }
+        }
+        if unasked {
+            self.look();
         }
         let open: Vec<(Txn, u64, u64)> = wire.open.borrow_mut().drain().map(|(_, one)| one).collect();
         if let (Err(error), false) = (&ended, open.is_empty()) {
@@ -411,30 +440,43 @@
 
     /// Asks each worker for its health, on a connection of its own, and looks at grants and mode.
     pub async fn watch(self: Rc<Fleet>) {
-        let workers: Vec<(Id, SocketAddr)> =
-            self.workers.borrow().iter().map(|(worker, state)| (*worker, state.address)).collect();
-        for (worker, address) in workers {
+        let workers: Vec<(Id, SocketAddr, Rc<Notify>)> = self
+            .workers
+            .borrow()
+            .iter()
+            .map(|(worker, state)| (*worker, state.address, state.recheck.clone()))
+            .collect();
+        for (worker, address, recheck) in workers {
             let fleet = self.clone();
             tokio::task::spawn_local(async move {
-                let mut kept = None;
+                let (mut kept, mut told): (Option<(TcpStream, u32)>, bool) = (None, false);
                 loop {
-                    let good = match timeout(CHECK, check(kept.take(), address)).await {
-                        Ok(Ok((good, stream))) => {
-                            kept = Some(stream);
-                            good
-                        }
-                        _ => false,
-                    };
-                    let changed = fleet
-                        .workers
-                        .borrow_mut()
-                        .get_mut(&worker)
-                        .is_some_and(|state| std::mem::replace(&mut state.good, good) != good);
-                    if changed {
+                    let used = kept.is_some();
+                    let mut good = fleet.asks(worker, address, &mut kept).await;
+                    if !good && used && kept.is_none() {
+                        good = fleet.asks(worker, address, &mut kept).await; // that connection may have been the fault
+                    }
+                    if let Some(state) = fleet.workers.borrow_mut().get_mut(&worker) {
+                        state.good = good;
+                    }
+                    if std::mem::replace(&mut told, good) != good {
                         log!("worker at {address} {}", if good { "takes work" } else { "takes none" });
+                    }
+                    fleet.look();
+                    // Its end is seen on the connection that rests, ahead of the next question.
+                    let early = tokio::select! {
+                        () = tokio::time::sleep(CHECK) => false,
+                        () = recheck.notified() => true,
+                        () = ends(kept.as_ref().map(|kept| &kept.0)) => true,
+                    };
+                    if early {
+                        kept = None;
+                        if let Some(state) = fleet.workers.borrow_mut().get_mut(&worker) {
+                            state.good = false;
+                        }
                         fleet.look();
+                        tokio::time::sleep(AGAIN).await;
                     }
-                    tokio::time::sleep(CHECK).await;
                 }
             });
         }
@@ -443,15 +485,54 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
+
+    /// Asks one worker; its promise is taken over. True where it takes work; the connection is kept where it may be used again.
+    async fn asks(&self, worker: Id, address: SocketAddr, kept: &mut Option<(TcpStream, u32)>) -> bool {
+        let asked = self.clock.now();
+        let out = self.routes.borrow().out_at(worker);
+        if let Some(state) = self.workers.borrow_mut().get_mut(&worker) {
+            state.promised.iter_mut().for_each(Promised::asks);
+        }
+        self.look();
+        let payload = frames::put_ramp(self.own, out);
+        let Ok(Ok((good, ramp, stream))) = timeout(CHECK, check(kept.take(), address, &payload)).await else {
+            return false;
+        };
+        *kept = Some(stream);
+        if let Some(state) = self.workers.borrow_mut().get_mut(&worker) {
+            state.promised = ramp.map(|places| {
+                let mut promised = Promised::default();
+                promised.takes(asked, places);
+                promised
+            });
+        }
+        good
+    }
 }
 
-async fn check(kept: Option<(TcpStream, u32)>, address: SocketAddr) -> io::Result<(bool, (TcpStream, u32))> {
+/// Comes back once a connection that rests has ended, or something came on it that nobody asked for.
+async fn ends(stream: Option<&TcpStream>) {
+    let Some(stream) = stream else { return std::future::pending().await };
+    loop {
+        let ready = stream.readable().await;
+        match stream.try_read(&mut [0]) {
+            Err(error) if ready.is_ok() && error.kind() == ErrorKind::WouldBlock => {}
+            _ => return,
+        }
+    }
+}
+
+async fn check(
+    kept: Option<(TcpStream, u32)>,
+    address: SocketAddr,
+    payload: &[u8],
+) -> io::Result<(bool, Option<u32>, (TcpStream, u32))> {
     let (stream, number) = match kept {
         Some((stream, number)) => (stream, number + 1),
         None => (TcpStream::connect(address).await?, 1),
     };
     let mut frame = Vec::new();
-    frames::frame(&mut frame, frames::CHECK, number, &[0]);
+    frames::frame(&mut frame, frames::CHECK, number, payload);
     write_all(&stream, &frame).await?;
     let (mut bytes, mut filled) = ([0; 512], 0);
     loop {
@@ -465,7 +546,8 @@
         match frames::next(&bytes[..filled], bytes.len()) {
             Next::More if filled < bytes.len() => {}
             Next::Frame { kind: frames::CHECKED, payload, .. } => {
-                return Ok((payload.first() == Some(&frames::SUCCEEDED), (stream, number)));
+                let good = payload.first() == Some(&frames::SUCCEEDED);
+                return Ok((good, frames::ramp(payload), (stream, number)));
             }
             // Told to send no more on this connection: a new one next time.
             _ => return Err(ErrorKind::InvalidData.into()),
--- a/server/src/frames.rs
+++ b/server/src/frames.rs
@@ -152,6 +152,30 @@
     })
 }
 
+/// Between the levels of our own: a forwarder's health check names it and what it has out at the worker; the answer of one that is
+/// cold tells the places that it may use there. Routers send and are sent none of these.
+pub const RAMP: &str = "ramp";
+const OUT: &str = "out";
+
+pub fn put_ramp(who: u64, out: u32) -> Vec<u8> {
+    let mut payload = Vec::new();
+    put_fields(&mut payload, &[(RAMP, &format!("{who:016x}")), (OUT, &out.to_string())]);
+    payload
+}
+
+/// Who asks, and what it has out here.
+pub fn asks_ramp(payload: &[u8]) -> Option<(u64, u32)> {
+    let (all, _) = fields(payload)?;
+    let get = |name: &str| all.iter().find(|(known, _)| *known == name).map(|(_, value)| *value);
+    Some((u64::from_str_radix(get(RAMP)?, 16).ok()?, get(OUT)?.parse().ok()?))
+}
+
+/// The places that a health check's answer promises, where it speaks of any.
+pub fn ramp(payload: &[u8]) -> Option<u32> {
+    let (all, _) = fields(payload.get(1..)?)?;
+    all.iter().find(|(known, _)| *known == RAMP).and_then(|(_, value)| value.parse().ok())
+}
+
 /// A frame with its payload.
 pub fn frame(out: &mut Vec<u8>, kind: u8, stream: u32, payload: &[u8]) {
     out.extend((payload.len() as u32 + 5).to_be_bytes());
--- a/server/src/fronts/frames.rs
+++ b/server/src/fronts/frames.rs
@@ -233,7 +233,7 @@
             Note::Arrived { peer: peer.clone(), stream, read: read(copy, names) }
         }
         frames::LEFT => Note::Left { peer: peer.clone(), stream },
-        frames::CHECK => return check(front, peer, stream),
+        frames::CHECK => return check(front, peer, stream, payload),
         _ => {
             let what = format!("a frame of type {kind} on stream {stream}");
             return peer.breach(&front.shared.counters, 0, Fault::Malformed, &what);
@@ -243,11 +243,17 @@
     let _ = front.queue.send(note).await;
 }
 
-/// Health checks are answered here and at once, with what the module said last.
-fn check(front: &Front, peer: &Peer, stream: u32) {
+/// Health checks are answered here and at once, with what the module said last. A forwarder names itself and what it has out here;
+/// while this server is cold it is told in the same answer how much it may have.
+fn check(front: &Front, peer: &Peer, stream: u32, payload: &[u8]) {
     peer.spoke.set(true);
     add(&front.shared.counters.checks);
     let voice = &front.shared.voice;
     let code = if voice.good.get() && voice.fit.get() { frames::SUCCEEDED } else { frames::ERRORED };
-    put(&peer.out, frames::CHECKED, stream, code, &[], voice.feedback.get(), b"");
+    let promised = voice.ramp.get().and_then(|budget| {
+        let (who, out) = frames::asks_ramp(payload)?;
+        Some(front.ramp.borrow_mut().asks(front.clock.now(), who, out, budget, front.callers).to_string())
+    });
+    let fields: Vec<_> = promised.iter().map(|places| (frames::RAMP, places.as_str())).collect();
+    put(&peer.out, frames::CHECKED, stream, code, &fields, voice.feedback.get(), b"");
 }
--- a/server/src/fronts/mod.rs
+++ b/server/src/fronts/mod.rs
@@ -13,6 +13,7 @@
 use crate::pool::SIZE;
 use cypresscleat::api::Time;
 use cypresscleat_settings::Names;
+use cypresscleat_tier::ramp::Ramp;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
@@ -83,13 +84,22 @@
     lingering: RefCell<VecDeque<Rc<Conn>>>,
     lingering_most: usize,
     left: Notify,
+    /// What forwarders were promised, and how many callers the settings tell of.
+    ramp: RefCell<Ramp>,
+    callers: usize,
     /// The listener is to go, and is gone.
     closing: Notify,
     closed: Cell<bool>,
 }
 
 impl Front {
-    pub fn new(shared: &Shared, queue: Sender<Note>, clock: Clock, speaks: Speaks, most: usize) -> Rc<Front> {
+    pub fn new(
+        shared: &Shared,
+        queue: Sender<Note>,
+        clock: Clock,
+        speaks: Speaks,
+        (most, callers): (usize, usize),
+    ) -> Rc<Front> {
         let (shared, conns, lingering) = (shared.clone(), RefCell::default(), RefCell::default());
         let (left, closing, closed) = (Notify::new(), Notify::new(), Cell::new(false));
         let lingering_most = if matches!(speaks, Speaks::Frames(_)) { most / LINGERING } else { 0 };
@@ -103,6 +113,8 @@
             conns,
             lingering,
             lingering_most,
+            ramp: RefCell::default(),
+            callers,
             left,
             closing,
             closed,
--- a/server/src/main.rs
+++ b/server/src/main.rs
@@ -270,7 +270,9 @@
     let names = Rc::new(config.names.clone());
     let taken = operator.scgi.as_ref().map_or(0, |scgi| scgi.connections);
     let most = config.sockets - calls - KEPT_BACK - taken;
-    let mut fronts = vec![Front::new(&shared, queue.clone(), clock, Speaks::Frames(names.clone()), most)];
+    let callers = config.settings.callers as usize;
+    let mut fronts =
+        vec![Front::new(&shared, queue.clone(), clock, Speaks::Frames(names.clone()), (most, callers))];
     let mut accepting = vec![spawn_local(fronts[0].clone().accept(listener))];
     let mut door = None;
     if let Some(scgi) = &operator.scgi {
@@ -285,7 +287,7 @@
             scgi.patience,
         ));
         let speaks = Speaks::Scgi(own.clone());
-        let front = Front::new(&shared, queue.clone(), clock, speaks, scgi.connections);
+        let front = Front::new(&shared, queue.clone(), clock, speaks, (scgi.connections, callers));
         accepting.push(spawn_local(front.clone().accept(listener)));
         fronts.push(front);
         door = Some(own);
@@ -314,7 +316,7 @@
         Some(tier) => {
             settings = forwards(settings, tier);
             let value = settings.operations.iter().map(|op| op.billed).collect();
-            let fleet = Fleet::new(tier, &shared, queue.clone(), clock, value, settings.seed);
+            let fleet = Fleet::new((&config.name, tier), &shared, queue.clone(), clock, value, settings.seed);
             let mut talk = Talk::new(&config.name, Role::Forwarder, tier, clock, settings.seed).await?;
             talk.gate = gate.clone();
             *retries.borrow_mut() = Some(fleet.clone());
--- a/server/tests/core.rs
+++ b/server/tests/core.rs
@@ -262,3 +262,29 @@
     play.line("expect b 2 succeeded result");
     play.line("owed 0");
 }
+
+/// What a cold server tells its callers adds up to no more than it survives, however many they are; warm, its limits are the usual.
+#[test]
+fn what_a_cold_server_tells_its_callers_adds_up_to_what_it_survives() {
+    for callers in [1, 8, 30] {
+        let mut play = Play::start(&[&format!("/settings/specifics/upstreams {callers}")]);
+        play.line(r#"0 kernel {"msg":"BOOTED","how":"COLD","duration":0}"#);
+        play.line("0 link");
+        let mut last = 0.0;
+        for ms in (200..9_900).step_by(200) {
+            play.line(&format!("{ms} pass"));
+            let sum = play.shared.voice.feedback.get().expect("it says something") * f64::from(callers);
+            // Two cores; cold from 0.2 of the speed for 10 s; 8 on a core are survived.
+            let survives = 2.0 * (1.0 + 7.0 * (0.2 + 0.8 * f64::from(ms) / 10_000.0));
+            assert!(sum <= survives, "{callers} callers at {ms}: {sum} of {survives}");
+            assert!(sum >= last, "it only grows");
+            last = sum;
+        }
+        for ms in (10_000..14_000).step_by(200) {
+            play.line(&format!("{ms} pass"));
+        }
+        let sum = play.shared.voice.feedback.get().expect("it says something") * f64::from(callers);
+        let usual = f64::from(callers * 2).max(2.0 * 3.0);
+        assert!((sum - usual).abs() < 0.01, "{callers} callers, warm: {sum}");
+    }
+}
--- a/tier/src/lib.rs
+++ b/tier/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod messages;
 pub mod mode;
 pub mod plan;
+pub mod ramp;
 pub mod retry;
 pub mod routes;
 pub mod sim;
--- /dev/null
+++ b/tier/src/ramp.rs
@@ -0,0 +1,85 @@
+//! What a cold worker promises to each that asks. The worker alone knows its budget, and hears of all who send to it: so it divides
+//! the budget, and no sender counts the others. A promise is of whole places, holds for [`HOLDS`], and is charged in full, with what
+//! its sender has out already, until it ends or its sender asks again. While a sender asks it uses no earlier promise.
+//!
+//! # The bound
+//!
+//! A sender holds a promise until `HOLDS` after it *asked*, the worker charges it until `HOLDS` after it *answered*, which is later.
+//! So while clocks run equally fast, and the budget does not fall, what all senders have out is never more than the budget, however
+//! many they are, and however they are cut off from each other: none of them needs to know of another.
+
+use crate::{Id, Time, SECOND};
+use std::collections::BTreeMap;
+
+/// How long a promise holds: two questions may be lost.
+pub const HOLDS: Time = SECOND * 3 / 2;
+/// Senders that may hold a promise; one more is promised nothing.
+pub const SENDERS: usize = 1024;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Promise {
+    charged: u32,
+    until: Time,
+    /// Its part of the budget that was not given out, as places are whole.
+    owed: f64,
+}
+
+/// A worker's side.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ramp {
+    promises: BTreeMap<Id, Promise>,
+}
+
+impl Ramp {
+    /// The places that `who` may use, which has `out` here already. `budget` is what all together may have; `senders` are expected, and
+    /// more may come.
+    pub fn asks(&mut self, now: Time, who: Id, out: u32, budget: f64, senders: usize) -> u32 {
+        self.promises.retain(|id, promise| *id == who || promise.until > now);
+        if self.promises.len() >= SENDERS && !self.promises.contains_key(&who) {
+            return 0;
+        }
+        let before = self.promises.get(&who).copied().unwrap_or_default();
+        let others: u64 =
+            self.promises.iter().filter(|(id, _)| **id != who).map(|(_, one)| u64::from(one.charged)).sum();
+        let many = self.promises.len() + usize::from(!self.promises.contains_key(&who));
+        let part = budget.max(0.0) / many.max(senders).max(1) as f64;
+        let owed = (before.owed + part).min(part + 1.0);
+        let room = (budget.max(0.0).min(1e6) as u64).saturating_sub(others);
+        let places = (owed as u64).min(room) as u32;
+        let charged = places.max(out);
+        self.promises.insert(who, Promise { charged, until: now + HOLDS, owed: owed - f64::from(places) });
+        places
+    }
+
+    /// Places that are charged now.
+    pub fn charged(&self, now: Time) -> u64 {
+        self.promises.values().filter(|one| one.until > now).map(|one| u64::from(one.charged)).sum()
+    }
+}
+
+/// A sender's side, for one worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Promised {
+    places: u32,
+    until: Time,
+}
+
+impl Promised {
+    /// A question goes out: nothing of before holds.
+    pub fn asks(&mut self) {
+        self.places = 0;
+    }
+
+    /// The answer to what was asked at `asked`.
+    pub fn takes(&mut self, asked: Time, places: u32) {
+        (self.places, self.until) = (places, asked + HOLDS);
+    }
+
+    pub fn places(&self, now: Time) -> u32 {
+        if now < self.until {
+            self.places
+        } else {
+            0
+        }
+    }
+}
