--- a/server/src/config.rs
+++ b/server/src/config.rs
@@ -97,9 +97,10 @@
             u64::from_str_radix(&hex, 16).map_err(|_| format!("seed: {hex:?} is not 16 hex digits"))?
         }
     };
+    check_keys(&all["settings"])?;
     let (settings, names) =
         settings::read(&all["settings"], seed).map_err(|what| format!("settings.{what}"))?;
-    check(&all["settings"], &settings)?;
+    check(&settings)?;
     // What is kept of tokens stands in the memory of this process, not in that of the kernel, which the module books.
     let settings = Settings { entry_kb: 0.0, ..settings };
     let name = text("name")?.or(name).ok_or("name is missing")?;
@@ -136,33 +137,109 @@
     }
 }
 
-/// What the module needs, and what this front can't offer.
-fn check(all: &Value, set: &Settings) -> Result<(), String> {
-    let own = &all["specifics"];
-    let positive = [
-        ("specifics.cores", set.cores),
-        ("specifics.memory_kb", set.memory_kb),
-        ("specifics.blowup", set.blowup),
-        ("obligations.tip_multiple", set.tip),
-        ("obligations.answer_slack_ns", set.slack as f64),
-    ];
-    if set.operations.is_empty() {
-        return Err("settings.categories is missing or empty".into());
-    }
-    if let Some((key, _)) = positive.iter().find(|(_, value)| *value <= 0.0) {
-        return Err(format!("settings.{key} is missing or not above 0"));
+/// What a key of the settings holds.
+#[derive(Clone, Copy)]
+enum Holds {
+    /// A number, from 0 or above it, to so much.
+    From0(f64),
+    Above0,
+    Flag,
+    Text,
+    List,
+    /// A list of numbers, or of flags, one for each operation.
+    Numbers,
+    Flags,
+}
+
+const ANY: f64 = f64::MAX;
+/// Keys that are read, whether each has to be there, and what it holds. Keys that nobody reads may hold anything.
+const KEYS: [(&str, bool, Holds); 24] = [
+    ("categories", true, Holds::List),
+    ("customers", false, Holds::List),
+    ("over_share_worth", false, Holds::From0(1.0)),
+    ("counted_by", false, Holds::Text),
+    ("group_size", false, Holds::From0(ANY)),
+    ("limits.retry_after", false, Holds::Flag),
+    ("limits.max_retry_after_ns", false, Holds::From0(ANY)),
+    ("obligations.answer_slack_ns", true, Holds::Above0),
+    ("obligations.tip_multiple", true, Holds::Above0),
+    ("obligations.stop_sending_within_ns", true, Holds::From0(ANY)),
+    ("obligations.cold_from", false, Holds::From0(1.0)),
+    ("obligations.cold_ns", false, Holds::From0(ANY)),
+    ("specifics.cores", true, Holds::Above0),
+    ("specifics.memory_kb", true, Holds::Above0),
+    ("specifics.blowup", true, Holds::Above0),
+    ("specifics.gauges", true, Holds::List),
+    ("specifics.upstreams", false, Holds::From0(ANY)),
+    ("specifics.calls_out", false, Holds::From0(ANY)),
+    ("specifics.calls_over_ns", false, Holds::From0(ANY)),
+    ("specifics.stays_for_ns", false, Holds::From0(ANY)),
+    ("specifics.fresh_ns", false, Holds::From0(ANY)),
+    ("specifics.class_calls", false, Holds::Flags),
+    ("specifics.degraded_worth", false, Holds::Numbers),
+    ("specifics.cold", false, Holds::Flag),
+];
+const OF_EACH: [(&str, &str, bool, Holds); 10] = [
+    ("categories", "name", true, Holds::Text),
+    ("categories", "aim_ns", true, Holds::Above0),
+    ("categories", "deadline_ns", true, Holds::Above0),
+    ("categories", "effect", true, Holds::Text),
+    ("categories", "worth", true, Holds::From0(ANY)),
+    ("categories", "late_worth", false, Holds::From0(1.0)),
+    ("categories", "aim_stretch", false, Holds::From0(ANY)),
+    ("categories", "memory_span_ns", false, Holds::From0(ANY)),
+    ("customers", "name", true, Holds::Text),
+    ("customers", "allowance_per_s", false, Holds::From0(ANY)),
+];
+
+fn holds(key: &str, value: &Value, required: bool, holds: Holds) -> Result<(), String> {
+    let number = |value: &Value, fits: &dyn Fn(f64) -> bool| value.as_f64().is_some_and(fits);
+    let all = |fits: &dyn Fn(&Value) -> bool| value.as_array().is_some_and(|list| list.iter().all(fits));
+    let (fits, wanted) = match holds {
+        _ if value.is_null() && !required => return Ok(()),
+        _ if value.is_null() => return Err(format!("settings.{key} is missing")),
+        Holds::From0(most) => (
+            number(value, &|one| (0.0..=most).contains(&one)),
+            match most {
+                ANY => "a number from 0 up".to_string(),
+                most => format!("a number from 0 to {most}"),
+            },
+        ),
+        Holds::Above0 => (number(value, &|one| one > 0.0), "a number above 0".into()),
+        Holds::Flag => (value.is_boolean(), "true or false".into()),
+        Holds::Text => (value.as_str().is_some_and(|text| !text.is_empty()), "text".into()),
+        Holds::List => (value.is_array(), "a list".into()),
+        Holds::Numbers => (all(&|one| number(one, &|one| one >= 0.0)), "a list of numbers from 0 up".into()),
+        Holds::Flags => (all(&Value::is_boolean), "a list of true and false".into()),
+    };
+    match fits {
+        true => Ok(()),
+        false => Err(format!("settings.{key}: expected {wanted}, found {value}")),
     }
-    if !own["gauges"].is_array() {
-        return Err("settings.specifics.gauges is missing".into());
+}
+
+/// What every key that is read holds, before anything is made of it.
+fn check_keys(all: &Value) -> Result<(), String> {
+    for (key, required, what) in KEYS {
+        let value = key.split('.').fold(all, |value, word| &value[word]);
+        holds(key, value, required, what)?;
     }
-    for (at, op) in set.operations.iter().enumerate() {
-        if op.objective <= 0 || op.timeout <= 0 {
-            return Err(format!("settings.categories[{at}].aim_ns and deadline_ns must be above 0"));
-        }
-        if op.skipped > 0.0 {
-            return Err(format!("settings.specifics.degraded_worth[{at}]: the kernel can't skip a call"));
+    for (list, word, required, what) in OF_EACH {
+        for (at, row) in all[list].as_array().into_iter().flatten().enumerate() {
+            holds(&format!("{list}[{at}].{word}"), &row[word], required, what)?;
         }
     }
+    Ok(())
+}
+
+/// What this front can't offer.
+fn check(set: &Settings) -> Result<(), String> {
+    if set.operations.is_empty() {
+        return Err("settings.categories is empty".into());
+    }
+    if let Some(at) = set.operations.iter().position(|op| op.skipped > 0.0) {
+        return Err(format!("settings.specifics.degraded_worth[{at}]: the kernel can't skip a call"));
+    }
     if set.fresh > 0 {
         return Err("settings.specifics.fresh_ns: answers can't be used again here".into());
     }
--- a/server/tests/sockets.rs
+++ b/server/tests/sockets.rs
@@ -487,7 +487,43 @@
 
 #[test]
 fn a_faulty_configuration_ends_the_start_and_names_the_key() {
-    let cases: [(&str, Value, &str); 9] = [
+    let cases: [(&str, Value, &str); 21] = [
+        ("/settings/categories", Value::Null, "settings.categories is missing"),
+        ("/settings/categories", json!([]), "settings.categories is empty"),
+        ("/settings/categories/1/name", Value::Null, "settings.categories[1].name is missing"),
+        (
+            "/settings/categories/1/deadline_ns",
+            json!(-5),
+            "settings.categories[1].deadline_ns: expected a number above 0",
+        ),
+        ("/settings/categories/0/aim_ns", json!("soon"), "settings.categories[0].aim_ns: expected a number"),
+        ("/settings/categories/0/worth", Value::Null, "settings.categories[0].worth is missing"),
+        (
+            "/settings/categories/0/memory_span_ns",
+            json!("5s"),
+            "settings.categories[0].memory_span_ns: expected",
+        ),
+        (
+            "/settings/customers/1/allowance_per_s",
+            json!([1]),
+            "settings.customers[1].allowance_per_s: expected",
+        ),
+        (
+            "/settings/obligations/cold_from",
+            json!(7),
+            "settings.obligations.cold_from: expected a number from 0 to 1",
+        ),
+        (
+            "/settings/obligations/answer_slack_ns",
+            Value::Null,
+            "settings.obligations.answer_slack_ns is missing",
+        ),
+        ("/settings/specifics/class_calls", json!([true, "no"]), "settings.specifics.class_calls: expected"),
+        (
+            "/settings/specifics/memory_kb",
+            json!(true),
+            "settings.specifics.memory_kb: expected a number above 0",
+        ),
         ("/kernel", Value::Null, "kernel is missing"),
         ("/listen", json!("nowhere"), "listen: \"nowhere\""),
         ("/stop_ms", json!(-3), "stop_ms: expected a whole number"),
--- a/tier/src/ramp.rs
+++ b/tier/src/ramp.rs
@@ -44,7 +44,7 @@
         let many = self.promises.len() + usize::from(!self.promises.contains_key(&who));
         let part = budget.max(0.0) / many.max(senders).max(1) as f64;
         let owed = (before.owed + part).min(part + 1.0);
-        let room = (budget.max(0.0).min(1e6) as u64).saturating_sub(others);
+        let room = (budget.clamp(0.0, 1e6) as u64).saturating_sub(others);
         let places = (owed as u64).min(room) as u32;
         let charged = places.max(out);
         self.promises.insert(who, Promise { charged, until: now + HOLDS, owed: owed - f64::from(places) });
