--- a/examples/src/lib.rs
+++ b/examples/src/lib.rs
@@ -205,6 +205,19 @@
             }
         }
     }
+    /// The next frame, whole; `None` where the connection ended before, or was reset.
+    pub fn try_frame(&mut self) -> Option<Frame> {
+        let mut wanted = 9;
+        while self.0.bytes.len() < wanted {
+            if !self.0.more() {
+                return None;
+            }
+            if let Some(head) = self.0.bytes.get(..4) {
+                wanted = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize + 4;
+            }
+        }
+        Some(self.frame())
+    }
     /// How the one invocation on stream 1 was answered; `None` where the connection ended before.
     pub fn try_answer(&mut self) -> Option<&'static str> {
         loop {
--- a/server/src/core.rs
+++ b/server/src/core.rs
@@ -472,6 +472,8 @@
 
     /// The module's timer is due: first the gauges are asked for, then it goes on with them or without.
     pub fn tick(&mut self, now: Time) {
+        // The system's clock was last told with a message; since then it has moved on as ours has.
+        self.side.unix += (now - self.side.now).max(0);
         self.side.now = now;
         // Guards the client's time against a change that takes longer: none is held past it.
         for at in (0..self.held.len()).rev().filter(|at| self.held[*at].0 <= now).collect::<Vec<_>>() {
@@ -978,6 +980,10 @@
         let rec = self.rec(inv);
         if rec.asked == Asked::Nothing && !rec.ran {
             rec.payload.give_back();
+            // Its token is free at once: what overload turns away takes no room of what ran.
+            if let (Some(token), Some(keeping)) = (rec.token.clone(), self.keeping.as_mut()) {
+                keeping.released(&token, inv, false);
+            }
         }
     }
 
--- a/server/tests/core.rs
+++ b/server/tests/core.rs
@@ -288,3 +288,34 @@
         assert!((sum - usual).abs() < 0.01, "{callers} callers, warm: {sum}");
     }
 }
+
+/// A table full of tokens: one more is turned away, a repeat of one that is known is not, and what was turned away takes no room.
+#[test]
+fn no_token_runs_that_could_not_be_kept() {
+    let window = r#"/settings/categories/1/memory_span_ns 60000000000"#;
+    let mut play = Play::start(&[r#"/settings/categories/1/effect "dedup""#, window]);
+    play.line(r#"0 kernel {"msg":"BOOTED","how":"WARM","duration":60000}"#);
+    play.line("0 link");
+    let runs = |play: &mut Play, number: usize| {
+        let at = number * 2;
+        play.line(&format!("{at} a sends {number} {number:x} unique=k{number}"));
+        play.line(&format!("expect kernel SCHED {number:x}"));
+        let txn = format!("{number:0>16x}");
+        play.line(&format!(
+            r#"{} kernel {{"msg":"REAP","serial":{number},"call":"{txn}","how":"OK","duration":1,"blob":"b2s="}}"#,
+            at + 1
+        ));
+        play.line(&format!("expect a {number} succeeded ok"));
+    };
+    (1..=4096).for_each(|number| runs(&mut play, number));
+    for (stream, name) in [(4097, "new"), (4098, "newer")] {
+        play.line(&format!("8300 a sends {stream} {stream:x} unique={name}"));
+        play.line(&format!("expect a {stream} throttled"));
+        play.line(&format!("refuse kernel SCHED {stream:x}"));
+    }
+    play.line("8301 a sends 4099 ffff unique=k9");
+    play.line("expect a 4099 succeeded ok");
+    // Once the first windows are over, and nothing that came inside them can lie unread, there is room again.
+    play.line("68301 a sends 4100 fffe unique=new");
+    play.line("expect kernel SCHED fffe ask");
+}
