A gateway's half request is told of the drain at once again

Excluded: timing, it fails each time the half request stands. Change: that word goes to each idle connection again; only the close for room spares half a message. Measured: all server tests pass.

--- a/server/src/fronts/mod.rs
+++ b/server/src/fronts/mod.rs
@@ -273,7 +273,7 @@
                     peer.end(); // it goes on sending
                 } else if peer.told.get().is_some_and(|at| now - at > TOLD) {
                     conn.ask_to_close();
-                } else if idles && conn.rests() && peer.told.get().is_none() {
+                } else if idles && peer.is_idle() && peer.told.get().is_none() {
                     add(&self.shared.counters.idle_closed);
                     peer.tell(now);
                 }
