A forwarder's try that crosses its worker's close is sent once more

Need: whoever sends frames sends a request that crossed an announced close once more, by the protocol's 50 ms clause; a forwarder errored it. Seen with the mend out: errored where the worker had read nothing of it (a_try_that_crosses_its_workers_close_is_sent_once_more). Change: lost() in server/src/forward/fleet.rs sends it again to the same worker, under its id, once, where that had said no more and closed within 50 ms; the worker tells a second copy by its id. A close without a word is still an unknown end. A connection that was told to go is counted once in idle_closed.

--- a/server/src/forward/fleet.rs
+++ b/server/src/forward/fleet.rs
@@ -35,6 +35,8 @@
 const WIRES: usize = 16;
 const LAST: u32 = 1 << 30;
 const CONNECT: Duration = Duration::from_millis(500);
+/// A try that was sent so short a time before its worker's announced close is sent once more, as a router does by the protocol.
+const CROSSES: Time = 50 * MS;
 /// Health of workers is asked for so often.
 const CHECK: Duration = Duration::from_millis(500);
 /// One whose connection broke is asked again after this long.
@@ -46,6 +48,8 @@
     tries: u32,
     started: Time,
     wanted: Wanted,
+    /// It crossed a close once already.
+    crossed: bool,
     /// Which connection and stream it is on.
     on: Option<(Rc<Wire>, u32)>,
 }
@@ -103,7 +107,7 @@
         }
         self.budget.borrow_mut().first(now);
         let number = self.number.replace(self.number.get() + 1);
-        let one = Try { number, worker: 0, tries: 0, started: now, wanted, on: None };
+        let one = Try { number, worker: 0, tries: 0, started: now, wanted, crossed: false, on: None };
         if let Err(one) = self.go(now, one, &[]) {
             self.tell(one.wanted.txn, Outcome::Throttled, &[], None);
         }
@@ -237,6 +241,12 @@
             self.routes.borrow_mut().ended(now, worker, End::Nothing, 0, 0);
             return Err(one);
         };
+        self.puts(one, wire);
+        Ok(())
+    }
+
+    /// A try goes out on that connection.
+    fn puts(&self, mut one: Try, wire: Rc<Wire>) {
         let stream = wire.next.replace(wire.next.get() + 1);
         let from = wire.out.end();
         let mut frame = Vec::with_capacity(one.wanted.payload.len() + 9);
@@ -245,7 +255,22 @@
         wire.out.push(&frame);
         one.on = Some((wire, stream));
         self.tries.borrow_mut().insert(one.wanted.txn, one);
-        Ok(())
+    }
+
+    /// Guards a try that crossed the close of its connection: the worker had said that it takes no more there, and reads nothing more.
+    /// Sent once more on a new connection to the same worker, under its id, it runs once whichever copy was read. False where it did
+    /// not cross, or did so before.
+    fn sends_again(self: &Rc<Fleet>, txn: Txn, number: u64) -> bool {
+        let now = self.clock.now();
+        let crosses = |one: &Try| one.number == number && !one.crossed && now - one.started <= CROSSES;
+        let worker = match self.tries.borrow().get(&txn) {
+            Some(one) if crosses(one) => one.worker,
+            _ => return false,
+        };
+        let Some(wire) = self.wire(worker) else { return false };
+        let Some(one) = self.tries.borrow_mut().remove(&txn) else { return false };
+        self.puts(Try { crossed: true, ..one }, wire);
+        true
     }
 
     /// A connection to a worker with a free stream; a new one where there is none and may be.
@@ -356,7 +381,11 @@
             log!("a connection to the worker at {} with {} tries: {error}", wire.address, open.len());
         }
         let written = wire.out.written();
+        let closed = ended.as_ref().is_err_and(|error| error.kind() == ErrorKind::UnexpectedEof);
         for (txn, number, from) in open {
+            if connected && closed && wire.told.get() && self.sends_again(txn, number) {
+                continue;
+            }
             let never = !connected || written <= from;
             let known = if never { Known::NeverRan } else { Known::Perhaps };
             self.ended(txn, number, End::Lost, known, (0, false), b"");
--- a/server/src/fronts/frames.rs
+++ b/server/src/fronts/frames.rs
@@ -193,7 +193,9 @@
         front.left.notify_one(); // whoever waits for its place looks for another
         return Ok(());
     }
-    add(&front.shared.counters.idle_closed);
+    if peer.told.get().is_none() {
+        add(&front.shared.counters.idle_closed);
+    }
     peer.tell(front.clock.now());
     peer.end();
     Ok(())
--- a/server/tests/crossings.rs
+++ b/server/tests/crossings.rs
@@ -382,3 +382,63 @@
         assert_eq!(how().await, Outcome::NoConnection, "it is known that it never ran");
     });
 }
+
+/// A worker that says no more and closes as the first invocation comes, so often; then it answers. What it was sent, by id.
+fn closing_worker(closes: usize, says: bool) -> (SocketAddr, std::sync::mpsc::Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (tell, heard) = std::sync::mpsc::channel();
+    let left = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(closes));
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (tell, left) = (tell.clone(), left.clone());
+            std::thread::spawn(move || {
+                let mut link = Router(Link::new(stream));
+                while let Some(one) = link.try_frame() {
+                    match one.kind {
+                        16 => link.0.send(frame(32, one.stream, &[79, 0])),
+                        2 => {
+                            let text = String::from_utf8_lossy(&one.payload).into_owned();
+                            let _ = tell.send(
+                                [ONE, TWO].iter().find(|id| text.contains(**id)).expect("an id").to_string(),
+                            );
+                            use std::sync::atomic::Ordering::SeqCst;
+                            if left.fetch_update(SeqCst, SeqCst, |left| left.checked_sub(1)).is_ok() {
+                                if says {
+                                    link.0.send(frame(64, 0, b""));
+                                }
+                                link.0.close();
+                                return;
+                            }
+                            link.0.send(frame(4, one.stream, b"\x4f\0result"));
+                        }
+                        _ => {}
+                    }
+                }
+            });
+        }
+    });
+    (address, heard)
+}
+
+/// A forwarder's try crosses the close of its connection: sent once more to the same worker, under its id, where that had said no more;
+/// not where it closed without a word, nor a second time.
+#[test]
+fn a_try_that_crosses_its_workers_close_is_sent_once_more() {
+    for (closes, says, answer, sent) in
+        [(1, true, "succeeded", 2), (1, false, "errored", 1), (2, true, "errored", 2)]
+    {
+        let (worker, heard) = closing_worker(closes, says);
+        let (listen, planner) = (cypresscleat_faults::free_port(), cypresscleat_faults::free_port());
+        let operator = format!(
+            "tier: {{listen: \"{listen}\", planners: [{{name: \"p0\", address: \"{planner}\"}}], \
+             workers: [{{name: \"w0\", address: \"{worker}\", places: 4}}]}}"
+        );
+        let place = Place::start_as(Path::new(PROGRAM), "forward", CONFIG, &operator, |_| {});
+        place.logged("takes work");
+        let mut router = Router::connect(place.server);
+        router.0.send(invocation(1, ONE, "lookup", b"ask"));
+        assert_eq!(router.answer().1, answer, "{closes} closes, {says}");
+        assert_eq!(heard.try_iter().count(), sent, "{closes} closes, {says}");
+    }
+}
