Drains: the stand-in kernel starts nothing whose run has ended

Excluded: the server's count of links and notices (REAP OK of link 2 came behind all missed notices and the sync, as relink() wants it). Cause: the stand-in started it anew; by the protocol a request whose run is over is told MOOT and nothing is started. Commands of the last 50 ms before a break may be lost, so the server has to tell them again and can't know better. Change: the stand-in tells MOOT; the history stands in the failure's text.

--- a/server/tests/drains.rs
+++ b/server/tests/drains.rs
@@ -51,6 +51,8 @@
     asked: Mutex<BTreeMap<String, (Got, u32)>>,
     /// Runs by id.
     ran: Mutex<BTreeMap<String, u32>>,
+    /// What the kernel heard and told of each id, in order; a link's number ahead of it.
+    told: Mutex<BTreeMap<String, Vec<String>>>,
     /// Those of the operation that calls below.
     reports: Mutex<BTreeSet<String>>,
     /// Sent once more, and throttled.
@@ -170,9 +172,10 @@
 /// The kernel: each run takes a while, some call below first; its link breaks at times, and some notices come twice.
 fn kernel(place: &std::net::TcpListener, seed: u64, journal: &Journal) {
     let mut chance = Chance(seed, 1 << 60);
-    let mut notices: Vec<String> = Vec::new();
+    let (mut notices, mut links): (Vec<String>, u32) = (Vec::new(), 0);
     let mut runs: BTreeMap<String, Instant> = BTreeMap::new();
     let mut calls: BTreeMap<String, bool> = BTreeMap::new();
+    let mut over: BTreeSet<String> = BTreeSet::new();
     while !journal.over.load(Ordering::SeqCst) {
         place.set_nonblocking(true).expect("a listener");
         let Ok((stream, _)) = place.accept() else {
@@ -195,18 +198,29 @@
         {
             continue;
         }
+        links += 1;
+        let note = |call: &str, what: &str| {
+            let mut told = journal.told.lock().expect("the journal");
+            told.entry(call.to_string()).or_default().push(format!("{links} {what}"));
+        };
         let breaks = Instant::now() + Duration::from_millis(100 + chance.below(900));
         while !link.link.over && Instant::now() < breaks && !journal.over.load(Ordering::SeqCst) {
             let mut tell = |msg: &str, call: &str, how: &str, link: &mut Kernel| {
                 let serial = notices.len() + 1;
                 let notice = json!({"msg": msg, "serial": serial, "call": call, "how": how, "duration": 1, "blob": "b2s="});
                 notices.push(format!("{notice}\n"));
+                note(call, &format!("{msg} {how}"));
                 let twice = 1 + usize::from(chance.draw() < 0.1);
                 (0..twice).all(|_| link.link.try_send(notices[serial - 1].as_bytes()))
             };
             if let Some((msg, call, _)) = link.hear_within(Duration::from_millis(1)) {
+                note(&call, &msg);
                 match msg.as_str() {
                     // A run that goes on already is asked for again on a new link: nothing happens.
+                    // One whose run ended as its command was told again is over: nothing is started.
+                    "SCHED" if over.contains(&call) => {
+                        tell("REAP", &call, "MOOT", &mut link);
+                    }
                     "SCHED" if !runs.contains_key(&call) && !calls.contains_key(&call) => {
                         let mut ran = journal.ran.lock().expect("the journal");
                         *ran.entry(call.clone()).or_default() += 1;
@@ -222,16 +236,18 @@
                         runs.insert(call, Instant::now() + Duration::from_millis(5));
                     }
                     "PREEMPT" if runs.remove(&call).is_some() | calls.remove(&call).is_some() => {
+                        over.insert(call.clone());
                         tell("REAP", &call, "STOPPED", &mut link);
                     }
                     _ => {}
                 }
             }
             let now = Instant::now();
-            let over: Vec<String> =
+            let ended: Vec<String> =
                 runs.iter().filter(|(_, at)| **at <= now).map(|(call, _)| call.clone()).collect();
-            for call in over {
+            for call in ended {
                 runs.remove(&call);
+                over.insert(call.clone());
                 tell("REAP", &call, "OK", &mut link);
             }
         }
@@ -312,7 +328,8 @@
         assert!(*answers <= 1, "seed {seed}: {txn} has {answers} answers");
     }
     for (txn, runs) in ran.iter() {
-        assert_eq!(*runs, 1, "seed {seed}: {txn} ran {runs} times");
+        let told = journal.told.lock().expect("the journal")[txn].clone();
+        assert_eq!(*runs, 1, "seed {seed}: {txn} ran {runs} times: {told:?}");
         assert!(asked.contains_key(txn), "seed {seed}: {txn} was never asked");
     }
     assert!(asked.len() > 10 && !ran.is_empty(), "seed {seed}: {} asked, {} ran", asked.len(), ran.len());
