Connections: the time between two arrivals of one caller says how long one idles

Cause: with 600 to 1,200 callers and 200 to 400 servers a caller comes back after minutes, yet an idle connection stayed 30 s, and was closed sooner only past eight a core. Assumption given up: few callers, each coming back soon.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -102,14 +102,16 @@
 /// Calls are logged as slow once their mean time passes this part of any objective.
 const CALLS_SLOW: f64 = 0.5;
 
-/// Connections, past this many a core: closed when idle for a time that falls by this factor at each advert,
-/// within these bounds, while less than this part of arrivals is turned away or cores are less busy than
-/// this; else it rises.
-const LINKS: f64 = 8.0;
-const IDLE_STEP: f64 = 1.2;
-const IDLE_LEAST: f64 = 3_000.0;
+/// Connections: one that idles this long takes about as much of the cores by its room in the table as a new
+/// one costs (neither is told); bounds of the idle time, its fall at each advert, the change that is told.
+const IDLE_EVEN: f64 = 50_000.0;
+const IDLE_LEAST: f64 = 100.0;
 const IDLE_MOST: f64 = 300_000.0;
-const REFUSED: f64 = 0.4;
+const IDLE_STEP: f64 = 1.2;
+const IDLE_TOLD: f64 = 1.1;
+/// Part of what wants a core that reading and connecting make up, past which the table is left to fill, on
+/// cores busier than this.
+const DOORS: f64 = 0.7;
 const BUSY: f64 = 0.9;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -235,8 +237,10 @@
     advert_at: Time,
     out_most: f64,
     idle: f64,
-    refused: f64,
     busy: f64,
+    doors: f64,
+    rate: f64,
+    came: usize,
     floor: f64,
     shed: usize,
     leaving: Option<(Time, Time)>,
@@ -290,7 +294,6 @@
             pace: 1.0,
             last: now,
             out_most: (cores * OUT_MOST).max(set.callers * OUT_EACH),
-            idle: IDLE_MOST,
             pools: Pools::new(&set.pools, set.operations.len(), cores),
             ..Brain::default()
         };
@@ -323,6 +326,7 @@
             ..Rec::default()
         };
         self.seq += 1;
+        self.came += 1;
         self.unread += (a.unread as f64 - self.unread) * NEWEST;
         if self.recs.len() <= a.inv {
             self.recs.resize_with(a.inv + 1, || None);
@@ -339,8 +343,6 @@
                 break;
             }
         }
-        let kept = self.rec(a.inv).is_some_and(|rec| !rec.answered);
-        self.refused += (if kept { 0.0 } else { 1.0 } - self.refused) * NEWEST;
         self.fill(now, host);
     }
 
@@ -1038,22 +1040,28 @@
         self.cap = self.cap.clamp(self.cores * CAP_LEAST, self.cores * self.tip * SURVIVE);
     }
 
-    /// Guards against a table of connections that many callers fill, each with one it seldom uses: it taxes
-    /// the cores and keeps callers out while cores idle. A server that turns much away on busy cores leaves
-    /// the table full: a try that finds no connection costs less than one that is read. Holds for any cause
-    /// that opens many; may hurt where callers come back just after the idle time, as each time costs a
-    /// handshake.
+    /// Guards against a table of connections that many callers fill, each with one it seldom uses: a fuller
+    /// one takes more of the cores, a full one keeps callers out while cores idle. The mean time between two
+    /// arrivals of one caller decides: past the time in which an idle connection costs what a new one does,
+    /// it is closed so much the sooner. Holds for any number of callers and any load; may hurt where a few
+    /// callers send most: theirs are closed too. Where busy cores do little but read and connect, all stay: a
+    /// try that finds a full table costs less than one that is read. Holds for any storm of tries; may hurt
+    /// after its end, until the table has emptied.
     fn connections(&mut self, now: Time, gauges: Gauges, host: &mut dyn Host) {
-        let (Some(busy), Some(links)) = (gauges.core_use, gauges.links) else { return };
+        let (busy, wanting) = (gauges.core_use.unwrap_or(0.0), gauges.on_cores.unwrap_or(0.0));
         self.busy += (busy - self.busy) * NEWEST;
+        self.doors += ((wanting - self.running as f64).max(0.0) / wanting.max(1.0) - self.doors) * NEWEST;
         if now < self.advert_at {
             return;
         }
-        let close = links > self.cores * LINKS && (self.refused < REFUSED || self.busy < BUSY);
-        let before = self.idle;
-        self.idle = (before * if close { 1.0 / IDLE_STEP } else { IDLE_STEP }).clamp(IDLE_LEAST, IDLE_MOST);
-        if self.idle != before {
-            host.close_idle(self.idle as Time);
+        let rate = std::mem::take(&mut self.came) as f64 / ADVERT as f64;
+        self.rate += (rate - self.rate) * NEWEST;
+        let even = (IDLE_EVEN * IDLE_EVEN * self.rate / self.callers).clamp(IDLE_LEAST, IDLE_MOST);
+        let storm = self.doors > DOORS && self.busy > BUSY;
+        let idle = if storm { IDLE_MOST } else { even.max(self.idle / IDLE_STEP) };
+        if idle.max(self.idle) > idle.min(self.idle) * IDLE_TOLD {
+            self.idle = idle;
+            host.close_idle(idle as Time);
         }
     }
 
@@ -1083,7 +1091,7 @@
         }
         let out = self.held.len() + self.active.len();
         let (least, most) = (self.cores * OUT_LEAST, (self.cores * OUT_MOST).max(self.callers * OUT_EACH));
-        // Guards a cold server against the sum of its callers; may hurt where few of many callers come at once.
+        // Guards a cold server against the sum of its callers; may hurt where few of many come at once.
         let most = most.min(self.ramp(now).unwrap_or(most)).max(least);
         let target =
             if pressed { self.out_most.min(out as f64) * OUT_FALL } else { self.out_most * OUT_RISE };
