Run cap: past the cores only whole places count; calls out recover sooner

Cause 1: a cap of 2.1 on two cores let a third run start, 3 on 2 cores most of the time, while the cap rose on a gauge that looks back (log lines: 'running 3 cap 2.1').

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,7 +48,7 @@
 /// this much with each that comes back.
 const CALLING: f64 = 3.0;
 const CALLING_FALL: f64 = 0.8;
-const CALLING_RISE: f64 = 0.1;
+const CALLING_RISE: f64 = 0.5;
 /// Part of `calls_out` that is used: at least, at most, and its rise and fall a second; it grows while
 /// calls take less than this multiple of their least mean time, which itself drifts up by this part a
 /// second.
@@ -111,7 +111,7 @@
 const IDLE_TOLD: f64 = 1.1;
 /// Part of what wants a core that reading and connecting make up, past which the table is left to fill, on
 /// cores busier than this.
-const DOORS: f64 = 0.7;
+const DOORS: f64 = 0.8;
 const BUSY: f64 = 0.9;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -623,9 +623,15 @@
 
     fn fill(&mut self, now: Time, host: &mut dyn Host) {
         let parked = self.active.len() - self.running;
-        let survivable = (self.survivable(now) * SURVIVE).max(1.01); // one always is
+        // One always is.
+        let survivable = (self.survivable(now) * SURVIVE).max(1.01);
+        // Past the cores only whole places count: part of one would be taken by a whole run, which slows all
+        // others while no core is free for it. May hurt where runs wait for disks: the cap grows into a place
+        // later.
+        let whole = if self.cap > self.cores { self.cap.floor() } else { self.cap };
+        let places = whole.min(self.granted.unwrap_or(f64::INFINITY));
         while !self.held.is_empty()
-            && (self.running as f64) < self.cap.min(self.granted.unwrap_or(f64::INFINITY))
+            && (self.running as f64) < places
             && ((self.active.len() + 1) as f64) < survivable
         {
             let no_calls = parked as f64 >= self.cores * PARKED;
