Run cap: reading counts in the crowd only where it lags

Fewer runs let more callers connect and be refused. Change: what reads and connects counts in the crowd once arrivals lie unread for 0.07 of the shortest objective. Assumption given up: a crowd on the cores is always one that fewer runs make smaller. Covers any storm of connecting; may hurt where reading lags only after the cores are lost to it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,6 +40,8 @@
 /// Unread time, as a part of the shortest objective, past which runs give way to reading, and how fast.
 const UNREAD: f64 = 0.25;
 const YIELD: f64 = 4.0;
+/// Unread time, likewise, past which reading counts in the crowd.
+const LAGS: f64 = 0.07;
 /// Part of the survivable crowd that runs and parked calls together may reach.
 const SURVIVE: f64 = 0.9;
 /// Parked invocations (at a call or waiting for one) a core, past which none that calls is started.
@@ -1037,6 +1039,10 @@
             return;
         }
         let (Some(busy), Some(wanting)) = (gauges.core_use, gauges.on_cores) else { return };
+        // Reading counts in the crowd only where it lags: where it is short, fewer runs would only let more
+        // callers connect and be refused.
+        let lags = self.unread > self.shortest * LAGS;
+        let wanting = if lags { wanting } else { wanting.min(self.running as f64) };
         self.crowd += (wanting / self.cores - self.crowd) * NEWEST;
         if self.crowd > CROWD && busy > FULL {
             self.cap -= step;
