Connections: on idle cores they stay where callers come back within their time

Change: below half the cores busy an idle connection weighs less (fourth power of the share), where callers come back within 30 s at all. Test: idle_connections_idle_cores.txt; the old code closes after 7.5 s.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -113,6 +113,8 @@
 const IDLE_TOLD: f64 = 1.1;
 /// Part of what wants a core that reading and connecting make up, past which the table is left to fill, on
 /// cores busier than this.
+/// Under this part of the cores busy, what an idle connection takes of them counts less and less.
+const IDLING: f64 = 0.5;
 const DOORS: f64 = 0.8;
 const BUSY: f64 = 0.9;
 
@@ -1068,7 +1070,10 @@
         }
         let rate = std::mem::take(&mut self.came) as f64 / ADVERT as f64;
         self.rate += (rate - self.rate) * NEWEST;
-        let even = (IDLE_EVEN * IDLE_EVEN * self.rate / self.callers).clamp(IDLE_LEAST, IDLE_MOST);
+        // Where callers do come back in time, what it takes of the cores counts the less, the more they idle.
+        let back = self.rate * IDLE_MOST > self.callers;
+        let weighs = if back { (self.busy / IDLING).clamp(0.1, 1.0).powi(4) } else { 1.0 };
+        let even = (IDLE_EVEN * IDLE_EVEN * self.rate / self.callers / weighs).clamp(IDLE_LEAST, IDLE_MOST);
         let storm = self.doors > DOORS && self.busy > BUSY;
         let idle = if storm { IDLE_MOST } else { even.max(self.idle / IDLE_STEP) };
         if idle.max(self.idle) > idle.min(self.idle) * IDLE_TOLD {
