--- a/src/brain.rs
+++ b/src/brain.rs
@@ -111,10 +111,10 @@
 const IDLE_MOST: f64 = 300_000.0;
 const IDLE_STEP: f64 = 1.2;
 const IDLE_TOLD: f64 = 1.1;
-/// Part of what wants a core that reading and connecting make up, past which the table is left to fill, on
-/// cores busier than this.
 /// Under this part of the cores busy, what an idle connection takes of them counts less and less.
 const IDLING: f64 = 0.5;
+/// Part of what wants a core that reading and connecting make up, past which the table is left to fill, on
+/// cores busier than this.
 const DOORS: f64 = 0.8;
 const BUSY: f64 = 0.9;
 
