--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod owners;
 pub mod pools;
 pub mod rollout;
+pub mod scale;
 pub mod tier;
 pub mod worker;
--- /dev/null
+++ b/lab/src/scale/mod.rs
@@ -0,0 +1,3 @@
+//! What each role costs at which size, and whether the size to design for fits its budgets.
+
+pub mod row;
