--- /dev/null
+++ b/lab/src/scale/events.rs
@@ -0,0 +1,103 @@
+//! What goes wrong at once, played on the gossip: one death, a rack, a zone that is lost and comes back.
+
+use super::gossip::net;
+use super::row::{How, Row};
+use super::targets::TARGETS;
+use cypresscleat_tier::membership::Options;
+use cypresscleat_tier::messages::State;
+use cypresscleat_tier::sim::World;
+use cypresscleat_tier::SECOND;
+
+const ROLE: &str = "app-server";
+const LOSS: f64 = 0.01;
+
+/// Bytes in a second out of and into the busiest, while it lasts.
+#[derive(Default)]
+struct Peak {
+    sent: Vec<u64>,
+    heard: Vec<u64>,
+    most: (u64, u64),
+}
+
+impl Peak {
+    fn of(world: &World) -> Peak {
+        Peak { sent: world.sent.clone(), heard: world.heard.clone(), most: (0, 0) }
+    }
+    /// A second has passed.
+    fn second(&mut self, world: &World) {
+        let most = |now: &[u64], then: &[u64]| now.iter().zip(then).map(|(a, b)| a - b).max().unwrap_or(0);
+        self.most.0 = self.most.0.max(most(&world.sent, &self.sent));
+        self.most.1 = self.most.1.max(most(&world.heard, &self.heard));
+        self.sent.clone_from(&world.sent);
+        self.heard.clone_from(&world.heard);
+    }
+}
+
+/// Until all know, with the busiest member's seconds on the way; NaN after two minutes.
+fn plays(world: &mut World, whom: &[usize], state: State) -> (f64, (u64, u64)) {
+    let began = world.now;
+    let mut peak = Peak::of(world);
+    let mut all = f64::NAN;
+    while all.is_nan() && world.now < began + 120 * SECOND {
+        // One second in five looks; what is known in it is known at its end at the latest.
+        for _ in 0..5 {
+            let next = world.now + SECOND / 5;
+            world.run(next);
+            let others = world.here() - usize::from(state == State::Alive);
+            if all.is_nan() && whom.iter().all(|at| world.agree(*at, state) >= others) {
+                all = (world.now - began) as f64 / (SECOND as f64 / 1e3);
+            }
+        }
+        peak.second(world);
+    }
+    (all, peak.most)
+}
+
+pub fn rows(sizes: &[u64], seed: u64, tell: &mut dyn FnMut(&str)) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for &size in sizes {
+        let many = size as usize;
+        let events = [("one death", 1), ("a rack of 40", TARGETS.rack as usize), ("a fifth", many / 5)];
+        for (name, gone) in events.into_iter().filter(|(_, gone)| *gone > 0 && gone * 2 < many) {
+            tell(&format!("{name} of {size} members"));
+            let mut add = |metric: &str, value: f64, unit: &str| {
+                let metric = format!("gossip, {name}: {metric} by members, loss 1%");
+                rows.push(Row::new(ROLE, size, &metric, value, unit, How::Simulated));
+            };
+            let mut world = World::new(many, Options::default(), net(LOSS), seed);
+            world.run(15 * SECOND);
+            let (sent, heard) = plays_at_rest(&mut world);
+            if name == "one death" {
+                add("busiest, bytes out before it", sent as f64, "B/s");
+                add("busiest, bytes in before it", heard as f64, "B/s");
+            }
+            // Seeds stay, or who comes back knows nobody to ask.
+            let whom: Vec<usize> = (many - gone..many).collect();
+            whom.iter().for_each(|at| world.kill(*at));
+            let (all, (out, into)) = plays(&mut world, &whom, State::Dead);
+            add("until all know", all, "ms");
+            add("busiest, bytes out", out as f64, "B/s");
+            add("busiest, bytes in", into as f64, "B/s");
+            if name == "a fifth" {
+                let now = world.now;
+                whom.iter().for_each(|at| world.start(*at, now, 2));
+                let (all, (out, into)) = plays(&mut world, &whom, State::Alive);
+                add("until all know that it is back", all, "ms");
+                add("busiest, bytes out as it comes back", out as f64, "B/s");
+                add("busiest, bytes in as it comes back", into as f64, "B/s");
+            }
+        }
+    }
+    rows
+}
+
+/// The busiest member's busiest of five seconds, with nothing going on.
+fn plays_at_rest(world: &mut World) -> (u64, u64) {
+    let mut peak = Peak::of(world);
+    for _ in 0..5 {
+        let next = world.now + SECOND;
+        world.run(next);
+        peak.second(world);
+    }
+    peak.most
+}
--- /dev/null
+++ b/lab/src/scale/gossip.rs
@@ -0,0 +1,90 @@
+//! What membership by gossip costs each member: played in simulated time on the real decider, its own processor time taken with a
+//! clock round the whole play.
+
+use super::heap;
+use super::row::{How, Row};
+use cypresscleat_tier::membership::{Member, Options};
+use cypresscleat_tier::messages::State;
+use cypresscleat_tier::sim::{Net, World};
+use cypresscleat_tier::{Id, MS, SECOND};
+use std::time::Instant;
+
+const ROLE: &str = "app-server";
+/// Parts of the messages that are lost, as they are played and as they are named.
+pub const LOSSES: [(f64, &str); 3] = [(0.0, "no loss"), (0.01, "loss 1%"), (0.1, "loss 10%")];
+/// Seconds until all know each other, and those that are measured.
+const WARM: i64 = 15;
+const MEASURED: i64 = 30;
+/// A death that nobody knows of after so long is told as not known.
+const LONGEST: i64 = 120;
+
+pub fn net(loss: f64) -> Net {
+    Net { loss, delay: (2, 20), cut: None }
+}
+
+/// Milliseconds from now until half, and until all of those that are here hold all of `whom` for `state`; NaN past the longest
+/// time.
+pub fn known(world: &mut World, whom: &[usize], state: State, every: i64) -> (f64, f64) {
+    let (began, mut half, mut all) = (world.now, None, None);
+    while all.is_none() && world.now < began + LONGEST * SECOND {
+        let next = world.now + every * MS;
+        world.run(next);
+        // The last one known counts, so the first that is not known by so many ends the look.
+        let others = world.here() - usize::from(state == State::Alive);
+        let least = whom.iter().map(|at| world.agree(*at, state)).min().unwrap_or(others);
+        let after = (world.now - began) as f64 / MS as f64;
+        half = half.or((least * 2 >= others).then_some(after));
+        all = all.or((least >= others).then_some(after));
+    }
+    (half.unwrap_or(f64::NAN), all.unwrap_or(f64::NAN))
+}
+
+/// Counts only: messages and bytes a member and second, and entries a member, at rest.
+pub fn at_rest(many: usize, loss: f64, seed: u64) -> (World, [f64; 3]) {
+    let mut world = World::new(many, Options::default(), net(loss), seed);
+    world.run(WARM * SECOND);
+    let (messages, bytes) = (world.messages, world.bytes);
+    world.run((WARM + MEASURED) * SECOND);
+    let each = |now: u64, then: u64| (now - then) as f64 / (MEASURED as f64 * many as f64);
+    let entries: usize = world.members.iter().flatten().map(|member| member.members().count()).sum();
+    let figures = [each(world.messages, messages), each(world.bytes, bytes), entries as f64 / many as f64];
+    (world, figures)
+}
+
+pub fn rows(sizes: &[u64], seed: u64, tell: &mut dyn FnMut(&str)) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for &size in sizes {
+        for (loss, name) in LOSSES {
+            tell(&format!("gossip, {size} members, {name}"));
+            let mut add = |metric: &str, value: f64, unit: &str| {
+                let metric = format!("gossip {metric} by members, {name}");
+                rows.push(Row::new(ROLE, size, &metric, value, unit, How::Simulated));
+            };
+            let began = Instant::now();
+            let ((mut world, [messages, bytes, entries]), held) =
+                heap::of(|| at_rest(size as usize, loss, seed));
+            // Whole wall of the play, the net's own work with it: more than the decider's, never less.
+            let played = ((WARM + MEASURED) as u64 * size) as f64;
+            let cores = began.elapsed().as_secs_f64() / played;
+            // In and out: what one sends another hears.
+            add("messages out", messages, "messages/s");
+            add("bytes out", bytes, "B/s");
+            add("bytes in and out", 2.0 * bytes, "B/s");
+            if loss == 0.01 {
+                add("entries", entries, "entries");
+                add("processor time, wall of the play", cores, "cores");
+                let entry = std::mem::size_of::<(Id, Member)>() as f64;
+                add("bytes of entries in all, entries x size_of", entries * entry, "B");
+                if held > 0.0 {
+                    add("bytes in all, heap of the play", held / size as f64, "B");
+                }
+            }
+            let victim = size as usize / 2;
+            world.kill(victim);
+            let (half, all) = known(&mut world, &[victim], State::Dead, 100);
+            add("until half know a death", half, "ms");
+            add("until all know a death", all, "ms");
+        }
+    }
+    rows
+}
--- /dev/null
+++ b/lab/src/scale/targets.rs
@@ -0,0 +1,108 @@
+//! The size to design for, as the users stated it, and what a figure may cost at it.
+
+use super::row::Row;
+
+/// The users' figures, and the sizes that follow from them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Targets {
+    pub app_servers: u64,
+    /// Machines set aside for control; they are members as the app servers are.
+    pub control_machines: u64,
+    pub callers: u64,
+    pub services: u64,
+    pub requests_a_second: f64,
+    pub routes: u64,
+    pub tenants: u64,
+    /// Added to a request for 99 in 100.
+    pub added_ms: f64,
+    pub regions: u64,
+    pub zones: u64,
+    pub changes_a_day: f64,
+    pub in_force_ms: f64,
+    /// What an app server may spend on control: part of a core, bytes, bytes a second.
+    pub cores: f64,
+    pub memory: f64,
+    pub bytes_a_second: f64,
+    pub failures_a_day: f64,
+    pub restarts_a_day: f64,
+    /// Machines of a rack, and of a zone.
+    pub rack: u64,
+    pub zone: u64,
+}
+
+pub const TARGETS: Targets = Targets {
+    app_servers: 5_800,
+    control_machines: 54,
+    callers: 200_000,
+    services: 5_200,
+    requests_a_second: 2_100_000.0,
+    routes: 67_000,
+    tenants: 660_000,
+    added_ms: 3.7,
+    regions: 8,
+    zones: 17,
+    changes_a_day: 12_000.0,
+    in_force_ms: 14_000.0,
+    cores: 0.028,
+    memory: 64e6,
+    bytes_a_second: 3_000.0,
+    failures_a_day: 750.0,
+    restarts_a_day: 11_000.0,
+    rack: 40,
+    zone: 340,
+};
+
+impl Targets {
+    /// Seconds from a change to the next, on average.
+    pub fn between_changes(&self) -> f64 {
+        86_400.0 / self.changes_a_day
+    }
+
+    /// What a metric's size counts, by its name (`... by members, ...`), and how many of it there are to be. Other names are of app
+    /// servers.
+    pub fn size(&self, metric: &str) -> u64 {
+        let counted = metric.rsplit(" by ").next().unwrap_or("");
+        match counted.split([',', ' ']).next().unwrap_or("") {
+            "members" => self.app_servers + self.control_machines,
+            "callers" => self.callers,
+            "services" => self.services,
+            "routes" => self.routes,
+            "tenants" => self.tenants,
+            "zones" => self.zones,
+            "regions" => self.regions,
+            _ => self.app_servers,
+        }
+    }
+
+    /// What a figure may be: the users' budgets; of an answer in one datagram what one carries; of a keeper, a planner and a
+    /// forwarder, each on one thread, one core. Times of a single decision are held against the whole time that may be added to a
+    /// request. `None` where nobody stated any.
+    pub fn budget(&self, row: &Row) -> Option<f64> {
+        // Of all that are played at once, whoever's it is: no role's own.
+        if row.metric.contains("wall of the whole play") {
+            return None;
+        }
+        let control = row.metric.starts_with("gossip")
+            || row.metric.starts_with("rollout ")
+            || row.metric.starts_with("owners ")
+            || row.metric.starts_with("control ");
+        let own = row.role == "app-server";
+        match row.unit.as_str() {
+            "B/s" if own && control => Some(self.bytes_a_second),
+            "cores" if own => Some(self.cores),
+            "cores" => Some(1.0),
+            "B" if row.metric.contains("one datagram") => Some(DATAGRAM),
+            "entries" if row.metric.contains("one datagram") => Some(ENTRIES),
+            "B" if own && row.metric.contains("in all") => Some(self.memory),
+            "ms" if row.metric.contains("in force") => Some(self.in_force_ms),
+            "ms" if row.metric.contains("added") => Some(self.added_ms),
+            "us" if row.metric.contains("decision") => Some(self.added_ms * 1e3),
+            _ => None,
+        }
+    }
+}
+
+/// Bytes of a UDP datagram over IPv4 at the most: less than the 64 KiB of [`cypresscleat_tier::messages::LONGEST`].
+pub const DATAGRAM: f64 = 65_507.0;
+/// Grants in one answer, sights in one report.
+pub const ENTRIES: f64 = cypresscleat_tier::messages::GRANTS as f64;
--- /dev/null
+++ b/lab/src/scale/tenants.rs
@@ -0,0 +1,186 @@
+//! What a route and a tenant cost an app server: bytes, and time of a decision.
+
+use super::row::{How, Row};
+use super::{heap, timed};
+use cypresscleat::api::*;
+use cypresscleat::Brain;
+use cypresscleat_scgi::request::{self, Reader};
+use cypresscleat_server::fronts::routes::{From, Route, Routes};
+use cypresscleat_server::pool::Pool;
+use std::time::Instant;
+
+const ROLE: &str = "app-server";
+
+/// Takes what the module asks for: what is to run, and when it wants to look up again.
+#[derive(Default)]
+struct Taken {
+    run: Option<Inv>,
+    wake: Time,
+}
+
+impl Host for Taken {
+    fn run(&mut self, inv: Inv) {
+        self.run = Some(inv);
+    }
+    fn throttle(&mut self, _: Inv, _: Time, _: bool) {}
+    fn error(&mut self, _: Inv) {}
+    fn stop(&mut self, _: Inv) {}
+    fn call(&mut self, _: Inv, _: Time) {}
+    fn skip_call(&mut self, _: Inv) {}
+    fn keep(&mut self, _: Inv, _: Time) {}
+    fn reuse(&mut self, _: Inv) {}
+    fn health(&mut self, _: bool, _: bool) {}
+    fn advertise(&mut self, _: f64) {}
+    fn close_idle(&mut self, _: Time) {}
+    fn wake(&mut self, after: Time) {
+        self.wake = after;
+    }
+    fn log(&mut self, _: &str) {}
+    fn release(&mut self, _: Inv) {}
+}
+
+fn settings(tenants: u64, seed: u64) -> Settings {
+    let operation =
+        Operation { objective: 2_000, timeout: 20_000, billed: 1.0, late: 0.5, ..Operation::default() };
+    Settings {
+        operations: vec![operation; 8],
+        customers: (0..tenants).map(|at| 1.0 + (at % 100) as f64).collect(),
+        over_share: 0.1,
+        servers: 5_800.0,
+        callers: 8.0,
+        cores: 4.0,
+        memory_kb: 60_000.0,
+        blowup: 8.0,
+        halt: Halt::Discard,
+        slack: 600,
+        drain_grace: 10_000,
+        tip: 3.0,
+        max_backoff: 10_000,
+        seed,
+        ..Settings::default()
+    }
+}
+
+fn name(at: u64) -> String {
+    format!("tenant-{at:06}")
+}
+
+pub fn tenants(sizes: &[u64], seed: u64, tell: &mut dyn FnMut(&str)) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for &size in sizes {
+        tell(&format!("tenants, {size}"));
+        let mut add = |metric: &str, value: f64, unit: &str| {
+            rows.push(Row::new(ROLE, size, &format!("{metric} by tenants"), value, unit, How::Simulated));
+        };
+        let mut host = Taken::default();
+        let set = settings(size, seed);
+        let began = Instant::now();
+        let (mut brain, held) = heap::of(|| Brain::start(0, set, &mut host));
+        add("tenants, start of the decisions", began.elapsed().as_secs_f64() * 1e3, "ms");
+        let (names, named) = heap::of(|| (0..size).map(name).collect::<Vec<String>>());
+        if held > 0.0 {
+            add("tenants, shares and names, bytes in all", held + named, "B");
+        }
+        let (mut now, mut turn) = (0, 0u64);
+        let cycle = timed(|| {
+            now += 10;
+            turn = turn.wrapping_add(0x9e37_79b9_7f4a_7c15);
+            let customer = Some((turn % size.max(1)) as usize);
+            brain.arrived(now, Arrival { inv: 0, op: 0, customer, ..Arrival::default() }, &mut host);
+            if host.run.take().is_some() {
+                brain.run_ended(now, 0, Outcome::Succeeded, &mut host);
+            }
+            if now % 200 == 0 {
+                brain.tick(now, Gauges::default(), &mut host);
+            }
+        });
+        add("tenants, a decision with its part of the ticks", cycle, "us");
+        let tick = timed(|| {
+            now += host.wake.max(1);
+            brain.tick(now, Gauges::default(), &mut host);
+        });
+        add("tenants, the periodic look", tick, "us");
+        let span = host.wake.max(1) as f64 * 100.0;
+        add("tenants, the periodic look, processor time", tick / span, "cores");
+        let found = named_last(size, &names);
+        add("tenants, a decision's tenant found by its name, the last one", found, "us");
+    }
+    rows
+}
+
+fn route(path: String, customer: From<Option<usize>>) -> Route {
+    Route {
+        path,
+        methods: vec!["GET".into(), "POST".into()],
+        op: 0,
+        customer,
+        rank: From { header: None, otherwise: 0.5 },
+        within: From { header: None, otherwise: None },
+        hint: From { header: None, otherwise: None },
+        kb: 1.0,
+        content_type: "application/json".into(),
+        token: None,
+    }
+}
+
+/// Microseconds of reading a gateway's request that names the last of all tenants.
+fn named_last(tenants: u64, names: &[String]) -> f64 {
+    let customer = From { header: Some("HTTP_X_TENANT".into()), otherwise: None };
+    let routes = Routes::new(vec![route("/".into(), customer)], names);
+    let tenant = name(tenants.saturating_sub(1));
+    let fields: [(&str, &[u8]); 3] =
+        [("REQUEST_METHOD", b"GET"), ("PATH_INFO", b"/orders"), ("HTTP_X_TENANT", tenant.as_bytes())];
+    let mut bytes = Vec::new();
+    if request::write(&mut bytes, &fields, b"").is_err() {
+        return f64::NAN;
+    }
+    let pool = Pool::new(16);
+    let mut buffer = pool.take();
+    buffer.push(&bytes);
+    let mut reader = Reader::new(Default::default());
+    let Ok(Some(read)) = reader.read(&buffer) else { return f64::NAN };
+    if routes.invocation([0; 16], 0, &buffer, &read).is_err() {
+        return f64::NAN;
+    }
+    timed(|| {
+        std::hint::black_box(routes.invocation([0; 16], 0, &buffer, &read).is_ok());
+    })
+}
+
+pub fn routes(sizes: &[u64], tell: &mut dyn FnMut(&str)) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for &size in sizes {
+        tell(&format!("routes, {size}"));
+        let mut add = |metric: &str, value: f64, unit: &str| {
+            rows.push(Row::new(ROLE, size, &format!("{metric} by routes"), value, unit, How::Simulated));
+        };
+        let path = |at: u64| format!("/service-{:04}/operation-{at:05}", at % 5_200);
+        let began = Instant::now();
+        let (routes, held) = heap::of(|| {
+            let all = (0..size).map(|at| route(path(at), From { header: None, otherwise: None }));
+            Routes::new(all.collect(), &[])
+        });
+        add("routes, table made", began.elapsed().as_secs_f64() * 1e3, "ms");
+        if held > 0.0 {
+            add("routes, bytes in all", held, "B");
+        }
+        let mut turn = 0u64;
+        let asked: Vec<String> = (0..64)
+            .map(|_| {
+                turn = turn.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                path(turn % size.max(1)) + "/item"
+            })
+            .collect();
+        let mut at = 0;
+        let mean = timed(|| {
+            at = (at + 1) % asked.len();
+            std::hint::black_box(routes.find(&asked[at], "GET").is_ok());
+        });
+        add("routes, a decision's route found, any of them", mean, "us");
+        let none = timed(|| {
+            std::hint::black_box(routes.find("/nowhere/at/all", "GET").is_ok());
+        });
+        add("routes, a decision that finds no route", none, "us");
+    }
+    rows
+}
--- a/tier/src/sim.rs
+++ b/tier/src/sim.rs
@@ -38,6 +38,9 @@
     chance: Chance,
     pub messages: u64,
     pub bytes: u64,
+    /// Of those, bytes that each member sent, and that were on their way to each and not lost.
+    pub sent: Vec<u64>,
+    pub heard: Vec<u64>,
     seed: u64,
     options: Options,
 }
@@ -75,6 +78,8 @@
             chance: Chance::new(seed),
             messages: 0,
             bytes: 0,
+            sent: vec![0; many],
+            heard: vec![0; many],
             seed,
             options,
         };
@@ -126,6 +131,7 @@
             messages::write(&mut bytes, &envelope);
             self.messages += 1;
             self.bytes += bytes.len() as u64;
+            self.sent[from] += bytes.len() as u64;
             let cut = self.net.cut.is_some_and(|(line, start, end, one_way)| {
                 let (a, b) = (from < line, to < line);
                 (start..end).contains(&self.now) && if one_way { a && !b } else { a != b }
@@ -133,6 +139,7 @@
             if to >= self.members.len() || cut || self.chance.draw() < self.net.loss {
                 continue;
             }
+            self.heard[to] += bytes.len() as u64;
             let (least, most) = self.net.delay;
             let delay = least + ((most - least) as f64 * self.chance.draw()) as Time;
             let place = self.free.pop().unwrap_or_else(|| {
