--- /dev/null
+++ b/lab/src/scale/hollow/members.rs
@@ -0,0 +1,324 @@
+//! Hollow members of a rollout and hollow owners: each a real decider and a socket of its own, many on each thread. A text that comes is
+//! held for good at once: it is neither read nor kept.
+
+use super::HEADERS;
+use cypresscleat_owners::holder::Holder;
+use cypresscleat_owners::{id, Id, Want};
+use cypresscleat_quorum::letter;
+use cypresscleat_rollout::member::{Event, Member};
+use cypresscleat_rollout::said::{Answer, Verdict};
+use cypresscleat_server::owning::wire::Wire;
+use cypresscleat_server::owning::{drawn, Keepers, Steady};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep_until;
+
+/// Threads that hollow instances are spread over.
+const THREADS: usize = 2;
+/// Bytes at one keeper are counted in slots of this length, for the peak of any second.
+const SLOT: Duration = Duration::from_millis(20);
+/// Slots that are kept: ten minutes.
+const SLOTS: usize = 30_000;
+
+/// What went out of the hollow instances and came in, seen from them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    pub messages_out: u64,
+    pub bytes_out: u64,
+    pub messages_in: u64,
+    pub bytes_in: u64,
+}
+
+impl Count {
+    pub fn since(&self, before: &Count) -> Count {
+        Count {
+            messages_out: self.messages_out - before.messages_out,
+            bytes_out: self.bytes_out - before.bytes_out,
+            messages_in: self.messages_in - before.messages_in,
+            bytes_in: self.bytes_in - before.bytes_in,
+        }
+    }
+}
+
+/// One keeper, as the hollow instances see it.
+#[derive(Default)]
+struct Seen {
+    messages_out: AtomicU64,
+    bytes_out: AtomicU64,
+    messages_in: AtomicU64,
+    bytes_in: AtomicU64,
+    /// With headers, both ways, by slot.
+    slots: Mutex<Vec<u64>>,
+}
+
+/// What all of them have seen.
+pub struct Books {
+    began: Instant,
+    seen: HashMap<SocketAddr, Seen>,
+    /// The keeper that answered as the leader last.
+    leader: Mutex<Option<SocketAddr>>,
+    /// Versions that came in force: which member, which version, when.
+    in_force: Mutex<Vec<(usize, u64, Instant)>>,
+    /// Owners that have a session.
+    sessions: AtomicU64,
+    out: AtomicU64,
+    over: AtomicBool,
+}
+
+impl Books {
+    fn new(set: &Keepers) -> Books {
+        let seen = set.all.iter().map(|(_, address)| (*address, Seen::default())).collect();
+        Books {
+            began: Instant::now(),
+            seen,
+            leader: Mutex::default(),
+            in_force: Mutex::default(),
+            sessions: AtomicU64::new(0),
+            out: AtomicU64::new(0),
+            over: AtomicBool::new(false),
+        }
+    }
+
+    fn notes(&self, keeper: SocketAddr, size: usize, goes_out: bool) {
+        let Some(seen) = self.seen.get(&keeper) else { return };
+        let (messages, bytes) = match goes_out {
+            true => (&seen.messages_out, &seen.bytes_out),
+            false => (&seen.messages_in, &seen.bytes_in),
+        };
+        messages.fetch_add(1, Ordering::Relaxed);
+        bytes.fetch_add(size as u64, Ordering::Relaxed);
+        let slot = (self.began.elapsed().as_nanos() / SLOT.as_nanos()) as usize;
+        let mut slots = seen.slots.lock().expect("the slots");
+        if slot < SLOTS {
+            if slots.len() <= slot {
+                slots.resize(slot + 1, 0);
+            }
+            slots[slot] += size as u64 + HEADERS;
+        }
+    }
+
+    /// With all keepers, or with one of them.
+    pub fn count(&self, keeper: Option<SocketAddr>) -> Count {
+        let mut all = Count::default();
+        for (_, seen) in self.seen.iter().filter(|(address, _)| keeper.is_none_or(|one| one == **address)) {
+            all.messages_out += seen.messages_out.load(Ordering::Relaxed);
+            all.bytes_out += seen.bytes_out.load(Ordering::Relaxed);
+            all.messages_in += seen.messages_in.load(Ordering::Relaxed);
+            all.bytes_in += seen.bytes_in.load(Ordering::Relaxed);
+        }
+        all
+    }
+
+    /// The most bytes in any one second since then, at one keeper, both ways, with headers.
+    pub fn peak(&self, keeper: SocketAddr, since: Instant) -> u64 {
+        let Some(seen) = self.seen.get(&keeper) else { return 0 };
+        let from = (since.duration_since(self.began).as_nanos() / SLOT.as_nanos()) as usize;
+        let second = (1_000 / SLOT.as_millis()) as usize;
+        let slots = seen.slots.lock().expect("the slots");
+        let slots = slots.get(from..).unwrap_or(&[]);
+        match slots.len() > second {
+            true => slots.windows(second).map(|one| one.iter().sum()).max().unwrap_or(0),
+            false => slots.iter().sum(),
+        }
+    }
+
+    pub fn leader(&self) -> Option<SocketAddr> {
+        *self.leader.lock().expect("the leader")
+    }
+    pub fn sessions(&self) -> u64 {
+        self.sessions.load(Ordering::Relaxed)
+    }
+    /// How often a member was out of service after it had begun.
+    pub fn out(&self) -> u64 {
+        self.out.load(Ordering::Relaxed)
+    }
+    /// When each member first had that version in force.
+    pub fn in_force(&self, version: u64) -> HashMap<usize, Instant> {
+        let mut first = HashMap::new();
+        for (member, number, at) in self.in_force.lock().expect("the list").iter() {
+            if *number == version {
+                first.entry(*member).or_insert(*at);
+            }
+        }
+        first
+    }
+}
+
+/// Hollow instances, for as long as this is held.
+pub struct Crowd {
+    pub books: Arc<Books>,
+    threads: Vec<JoinHandle<Result<(), String>>>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum What {
+    /// Members of a rollout.
+    Members,
+    /// Instances with a session, each of which would take the one part of a duty.
+    Owners,
+}
+
+impl Crowd {
+    pub fn start(what: What, many: u64, set: &Keepers) -> Result<Crowd, String> {
+        let books = Arc::new(Books::new(set));
+        let mut threads = Vec::new();
+        for thread in 0..THREADS {
+            let (books, set) = (books.clone(), set.clone());
+            let own = (0..many as usize).filter(move |at| at % THREADS == thread);
+            let run = move || {
+                let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+                let runtime = runtime.map_err(|error| error.to_string())?;
+                LocalSet::new().block_on(&runtime, lives(what, own, set, books))
+            };
+            threads.push(std::thread::Builder::new().spawn(run).map_err(|error| error.to_string())?);
+        }
+        Ok(Crowd { books, threads })
+    }
+
+    /// Ends all; what went wrong in one of them.
+    pub fn end(mut self) -> Result<(), String> {
+        self.books.over.store(true, Ordering::Relaxed);
+        let ended =
+            self.threads.drain(..).map(|thread| thread.join().unwrap_or(Err("a thread broke".into())));
+        ended.collect::<Vec<_>>().into_iter().collect()
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.books.over.store(true, Ordering::Relaxed);
+        self.threads.drain(..).for_each(|thread| drop(thread.join()));
+    }
+}
+
+async fn lives(
+    what: What,
+    own: impl Iterator<Item = usize>,
+    set: Keepers,
+    books: Arc<Books>,
+) -> Result<(), String> {
+    let clock = Steady::start();
+    let set = Rc::new(set);
+    let bytes = Rc::new(RefCell::new(vec![0; letter::LONGEST + 1]));
+    for at in own {
+        let socket = UdpSocket::bind(set.from()).await.map_err(|error| format!("instance {at}: {error}"))?;
+        let end = End { at, socket, to: set.addresses(), clock, books: books.clone(), bytes: bytes.clone() };
+        match what {
+            What::Members => spawn_local(end.member()),
+            What::Owners => spawn_local(end.owner()),
+        };
+    }
+    while !books.over.load(Ordering::Relaxed) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(())
+}
+
+/// One hollow instance: its socket, and what is behind it.
+struct End {
+    at: usize,
+    socket: UdpSocket,
+    to: HashMap<Id, SocketAddr>,
+    clock: Steady,
+    books: Arc<Books>,
+    /// One for all of a thread: none is held over a wait.
+    bytes: Rc<RefCell<Vec<u8>>>,
+}
+
+impl End {
+    fn posts(&self, to: Id, wire: &Wire) {
+        let Some(to) = self.to.get(&to) else { return };
+        if let Some(bytes) = letter::write(wire) {
+            if self.socket.try_send_to(&bytes, *to).is_ok() {
+                self.books.notes(*to, bytes.len(), true);
+            }
+        }
+    }
+
+    /// The next datagram that is understood, or `None` once it is time.
+    async fn hears(&self, due: cypresscleat_rollout::Time) -> Option<(SocketAddr, Wire)> {
+        tokio::select! {
+            () = sleep_until(self.clock.instant(due)) => return None,
+            ready = self.socket.readable() => ready.ok()?,
+        }
+        let mut bytes = self.bytes.borrow_mut();
+        // Word of an earlier datagram that found nobody is an error here, and is passed over.
+        let (size, from) = self.socket.try_recv_from(&mut bytes).ok()?;
+        self.books.notes(from, size, false);
+        Some((from, letter::read::<Wire>(&bytes[..size]).ok()?))
+    }
+
+    async fn member(self) {
+        let name = format!("h{}", self.at);
+        let keepers = self.to.keys().copied().collect();
+        let mut member = Member::new(self.clock.now(), &name, (id(&name), drawn(&name)), keepers);
+        loop {
+            let now = self.clock.now();
+            let mut asks = if now >= member.due() { member.tick(now) } else { Vec::new() };
+            loop {
+                asks.drain(..).for_each(|(to, ask)| self.posts(to, &Wire::PolicyAsk(ask)));
+                let events: Vec<Event> = member.events().collect();
+                if events.is_empty() {
+                    break;
+                }
+                for event in events {
+                    match event {
+                        Event::Check { version } => {
+                            asks.extend(member.checked(self.clock.now(), version.number, Verdict::Good));
+                        }
+                        Event::InForce { number } => {
+                            let mut list = self.books.in_force.lock().expect("the list");
+                            list.push((self.at, number, Instant::now()));
+                        }
+                        Event::Out { .. } => drop(self.books.out.fetch_add(1, Ordering::Relaxed)),
+                        Event::Holds { .. } => {}
+                    }
+                }
+            }
+            let Some((by, wire)) = self.hears(member.due()).await else { continue };
+            if let Wire::PolicyAnswer { from, answer } = wire {
+                if matches!(answer, Answer::Held { .. }) {
+                    *self.books.leader.lock().expect("the leader") = Some(by);
+                }
+                let asks = member.hear(self.clock.now(), from, answer);
+                asks.into_iter().for_each(|(to, ask)| self.posts(to, &Wire::PolicyAsk(ask)));
+            }
+        }
+    }
+
+    async fn owner(self) {
+        let name = format!("o{}", self.at);
+        let keepers = self.to.keys().copied().collect();
+        let wants = vec![Want { duty: id("scale"), parts: 1, rank: 0 }];
+        let mut holder = Holder::new(self.clock.now(), id(&name), drawn(&name), wants, keepers);
+        let mut known = false;
+        loop {
+            let now = self.clock.now();
+            if now >= holder.due() {
+                let asks = holder.tick(now);
+                asks.into_iter().for_each(|(to, ask)| self.posts(to, &Wire::Ask(ask)));
+            }
+            holder.events().for_each(drop);
+            let Some((by, wire)) = self.hears(holder.due()).await else { continue };
+            if let Wire::Answer { from, answer } = wire {
+                if matches!(answer, cypresscleat_owners::said::Answer::Held { .. }) {
+                    *self.books.leader.lock().expect("the leader") = Some(by);
+                }
+                let asks = holder.hear(self.clock.now(), from, answer);
+                asks.into_iter().for_each(|(to, ask)| self.posts(to, &Wire::Ask(ask)));
+                if !known && holder.session() != 0 {
+                    known = true;
+                    self.books.sessions.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+        }
+    }
+}
