--- a/rollout/src/desk.rs
+++ b/rollout/src/desk.rs
@@ -51,6 +51,24 @@
     pub old_count: bool,
 }
 
+/// What a desk has done since its start, whichever term it led in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Members whose lease was over.
+    pub expired: u64,
+    /// Lives taken in, each time.
+    pub joined: u64,
+    /// Decisions and openings that were proposed, and those of them that found other members than were counted.
+    pub decisions: u64,
+    pub again: u64,
+    /// Texts that were fetched.
+    pub fetched: u64,
+    /// Commands given to the keepers' log.
+    pub commands: u64,
+    /// Askings that waited for a round at once, at the most.
+    pub waiting: usize,
+}
+
 pub struct Desk<A> {
     term: Option<u64>,
     looked: Time,
@@ -80,6 +98,7 @@
     longer: (Time, Time),
     watch: Watch,
     log: Vec<String>,
+    pub counts: Counts,
     pub broken: Broken,
 }
 
@@ -113,6 +132,7 @@
             longer: (0, Time::MIN),
             watch: Watch::default(),
             log: Vec::new(),
+            counts: Counts::default(),
             broken: Broken::default(),
         }
     }
@@ -170,6 +190,7 @@
                     let refuses = self.bad.contains_key(&key);
                     self.heard.insert(key, Heard { at: now, from, verdict, paused, has });
                     self.waiting.push_back((round, from, key, number));
+                    self.counts.waiting = self.counts.waiting.max(self.waiting.len());
                     if refuses {
                         out = out.and(self.decides(now, keeper));
                     }
@@ -182,6 +203,7 @@
                 }
             }
             Ask::Fetch { number, version } => {
+                self.counts.fetched += 1;
                 let version = keeper.machine().as_ref().version(version).cloned().map(Box::new);
                 said.push((from, Answer::Text { number, version }));
             }
@@ -246,7 +268,10 @@
         self.next += 1;
         self.proposed.insert(self.next, whose);
         match keeper.propose(now, self.next, bytes(command)) {
-            Some(out) => out,
+            Some(out) => {
+                self.counts.commands += 1;
+                out
+            }
             None => {
                 self.proposed.remove(&self.next);
                 Out::default()
@@ -261,9 +286,8 @@
         self.looked = now;
         let new = self.term != Some(keeper.term());
         if new {
-            let broken = self.broken;
-            *self =
-                Desk { term: Some(keeper.term()), looked: now, next: self.next, broken, ..Desk::default() };
+            let Desk { next, broken, counts, .. } = *self;
+            *self = Desk { term: Some(keeper.term()), looked: now, next, broken, counts, ..Desk::default() };
             self.told = self.stands(keeper);
             self.longer_by(now, agreed.history().map(|version| version.rules.lease).max());
         }
@@ -380,6 +404,7 @@
         let mut out = Out::default();
         for key in over {
             self.ending.insert(key);
+            self.counts.expired += 1;
             out = out.and(self.proposes(now, keeper, &Command::End { key, left: false }, For::Own));
         }
         out
@@ -424,6 +449,7 @@
             }
         };
         self.deciding = true;
+        self.counts.decisions += 1;
         self.proposes(now, keeper, &command, For::Own)
     }
 
@@ -467,6 +493,7 @@
             For::Join { key } => {
                 self.joining.remove(&key);
                 if members.contains_key(&key) {
+                    self.counts.joined += 1;
                     self.renews(key, now);
                     // It is told to ask: its answer has to be one to a member's asking.
                     self.to_tell.push_back(key);
@@ -480,7 +507,10 @@
                 },
             )),
             // Counted again at the next look, where it has to be.
-            For::Own => self.deciding = false,
+            For::Own => {
+                self.deciding = false;
+                self.counts.again += u64::from(outcome == Outcome::Again);
+            }
         }
         if self.renewed.len() <= members.len() {
             return; // nobody went
--- a/rollout/src/sim.rs
+++ b/rollout/src/sim.rs
@@ -57,6 +57,15 @@
     Answer { to: usize, life: u64, from: Id, answer: Answer },
 }
 
+/// Letters between one keeper and the members, and their bytes; lost ones among what it said, not among what it heard.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    pub heard: u64,
+    pub heard_bytes: u64,
+    pub said: u64,
+    pub said_bytes: u64,
+}
+
 /// Who asks at a desk: a member, or the operator.
 const OPERATOR: usize = usize::MAX;
 
@@ -72,6 +81,10 @@
     pub cut: BTreeSet<usize>,
     pub asks: u64,
     pub ask_bytes: u64,
+    /// Of each keeper.
+    pub traffic: Vec<Traffic>,
+    /// Seats whose members go by an older version than the newest that was in force anywhere: all that `rule` has to look at.
+    behind: BTreeSet<usize>,
     /// What the operator was answered.
     pub answers: Vec<Answer>,
     /// Of each version: when it was proposed, decided and whether taken, first in force anywhere, and in force as agreed.
@@ -82,6 +95,8 @@
     /// The last moment at which a member might still admit under a version older than this one, after this was first in force.
     pub mixed_until: BTreeMap<u64, Time>,
     dues: Vec<Time>,
+    /// What each seat's plan was made with, of what a caller may set between runs.
+    planned: Vec<Option<(Time, i64, Time)>>,
     due: BTreeSet<(Time, usize)>,
     /// What was wrong, the first of it.
     pub wrong: Option<String>,
@@ -109,6 +124,8 @@
             cut: BTreeSet::new(),
             asks: 0,
             ask_bytes: 0,
+            traffic: vec![Traffic::default(); setup.keepers],
+            behind: BTreeSet::new(),
             answers: Vec::new(),
             proposed: BTreeMap::new(),
             decided: BTreeMap::new(),
@@ -116,6 +133,7 @@
             first: BTreeMap::new(),
             mixed_until: BTreeMap::new(),
             dues: Vec::new(),
+            planned: Vec::new(),
             due: BTreeSet::new(),
             wrong: None,
             rules: BTreeMap::new(),
@@ -148,8 +166,7 @@
     pub fn joins(&mut self) -> usize {
         let at = self.seats.len();
         self.adds(at);
-        self.dues.push(Time::MAX);
-        self.plans(at);
+        self.sized();
         at
     }
 
@@ -183,8 +200,25 @@
         (one.member, one.stopped, one.drained) = (Some(member), 0, false);
         one.letters.clear();
         one.checks.clear();
-        if at < self.dues.len() {
-            self.plans(at);
+        self.unplanned(at);
+    }
+
+    /// Planned anew where the next run begins.
+    fn unplanned(&mut self, at: usize) {
+        if let Some(planned) = self.planned.get_mut(at) {
+            *planned = None;
+        }
+    }
+
+    /// Plans the seats that are new or were set to something else.
+    fn sized(&mut self) {
+        self.dues.resize(self.seats.len(), Time::MAX);
+        self.planned.resize(self.seats.len(), None);
+        for at in 0..self.seats.len() {
+            let one = &self.seats[at];
+            if self.planned[at] != Some((one.stopped, one.rate, one.ahead)) {
+                self.plans(at);
+            }
         }
     }
 
@@ -193,6 +227,7 @@
         one.member = None;
         one.letters.clear();
         one.checks.clear();
+        self.unplanned(at);
     }
 
     pub fn lose_disk(&mut self, at: usize) {
@@ -319,7 +354,10 @@
                 continue;
             }
             self.asks += 1;
-            self.ask_bytes += letter::write(&answer).map_or(0, |bytes| bytes.len() as u64);
+            let bytes = letter::write(&answer).map_or(0, |bytes| bytes.len() as u64);
+            self.ask_bytes += bytes;
+            self.traffic[at].said += 1;
+            self.traffic[at].said_bytes += bytes;
             if !self.cut.contains(&to) {
                 let (from, life) = (at as Id + 1, self.seats[to].lives);
                 self.post(self.world.weather.delay, Mail::Answer { to, life, from, answer });
@@ -354,16 +392,34 @@
         if number != 0 && !self.decided.get(&number).is_some_and(|decided| decided.1) {
             self.wrong.get_or_insert(format!("m{at} goes by version {number}, which was not taken"));
         }
+        let newest = self.newest();
         self.first.entry(number).or_insert(now);
+        match number > newest {
+            true => (0..self.seats.len()).for_each(|at| self.lies_behind(at)),
+            false => self.lies_behind(at),
+        }
         self.rule(now);
     }
 
+    fn newest(&self) -> u64 {
+        self.first.last_key_value().map_or(0, |(number, _)| *number)
+    }
+
+    /// Notes whether the member goes by an older version than the newest. To be called whenever either may have changed.
+    fn lies_behind(&mut self, at: usize) {
+        let own = self.seats[at].member.as_ref().and_then(Member::in_force);
+        match own.is_some_and(|own| own < self.newest()) {
+            true => drop(self.behind.insert(at)),
+            false => drop(self.behind.remove(&at)),
+        }
+    }
+
     /// No member may admit under what was dropped, nor under an older version past its lease behind the decision, nor, where all were
     /// to go together, beside a newer one.
     pub fn rule(&mut self, now: Time) {
-        let newest = self.first.keys().next_back().copied().unwrap_or(0);
+        let newest = self.newest();
         let together = self.rules.get(&newest).is_some_and(|rules| rules.together);
-        for at in 0..self.seats.len() {
+        for at in self.behind.iter().copied() {
             // One that stands still admits nothing; what it does right after it wakes counts.
             if self.seats[at].stopped > now {
                 continue;
@@ -394,14 +450,18 @@
             let letter = if one.letters.is_empty() { Time::MAX } else { 0 };
             self.when(at, member.due()).min(check).min(letter).max(one.stopped)
         });
+        self.planned[at] = Some((one.stopped, one.rate, one.ahead));
+        self.lies_behind(at);
         let had = std::mem::replace(&mut self.dues[at], next);
+        if had == next && self.due.contains(&(next, at)) {
+            return;
+        }
         self.due.remove(&(had, at));
         self.due.insert((next, at));
     }
 
     pub fn run(&mut self, until: Time) {
-        self.dues.resize(self.seats.len(), Time::MAX);
-        (0..self.seats.len()).for_each(|at| self.plans(at));
+        self.sized();
         while self.world.now < until {
             self.step(until);
         }
@@ -446,6 +506,10 @@
         match mail {
             Mail::Ask { to, from, ask } => {
                 let Some(keeper) = self.world.seats[to].keeper.as_mut() else { return };
+                if from != OPERATOR {
+                    self.traffic[to].heard += 1;
+                    self.traffic[to].heard_bytes += letter::write(&ask).map_or(0, |bytes| bytes.len() as u64);
+                }
                 let (out, said) = self.desks[to].hear(now, keeper, from, ask);
                 self.carry(to, out, said);
                 self.after(to);
