--- a/rollout/src/member.rs
+++ b/rollout/src/member.rs
@@ -50,6 +50,8 @@
     due: Time,
     period: Time,
     silent: u32,
+    /// How long the last answer took.
+    round: Time,
     led: u32,
     number: u32,
     asked: VecDeque<(u32, Time)>,
@@ -90,6 +92,7 @@
             due: now,
             period: SECOND / 2,
             silent: 0,
+            round: 0,
             led: 0,
             number: 0,
             asked: VecDeque::new(),
@@ -230,10 +233,14 @@
             out.extend(self.fetch(number));
         }
         if now >= self.due {
-            if self.silent > 0 {
+            // Each keeper twice: mostly it was the letter that was lost, and whoever leads answers soonest.
+            if self.silent > 0 && self.silent.is_multiple_of(2) {
                 self.at = (self.at + 1) % self.keepers.len().max(1);
             }
-            let wait = if self.silent < 3 { self.patience() } else { 2 * self.period };
+            // Guards a lease against letters that are lost: it does not lie back while its lease runs out. Where no keeper answers this
+            // is over with the lease, so that keepers that come back are not met by all at once for long.
+            let runs_out = self.in_force.is_some() && self.until < Time::MAX;
+            let wait = if runs_out || self.silent < 4 { self.quick() } else { 2 * self.period };
             let spread = self.chance.below((wait / 8).max(1) as u64) as Time;
             self.due = now + wait + spread;
             (self.silent, self.led) = (self.silent.saturating_add(1), 0);
@@ -242,7 +249,12 @@
         out
     }
 
-    /// Time for an answer before another keeper is asked.
+    /// Time for an answer before it is asked again: a quarter of what lies between renewals, more where answers take long.
+    fn quick(&self) -> Time {
+        (self.period / 4).max(crate::desk::TRY).max(2 * self.round).min(self.patience())
+    }
+
+    /// Time for a text before it is fetched again.
     fn patience(&self) -> Time {
         (self.period / 2).max(crate::desk::TRY)
     }
@@ -301,7 +313,7 @@
                 let asked = self.asked.iter().find(|(one, _)| *one == number).map(|(_, at)| *at);
                 let Some(asked) = asked.filter(|_| !self.leaves) else { return Vec::new() };
                 self.heard(from);
-                self.joins = false;
+                (self.joins, self.round) = (false, now - asked);
                 self.period = period;
                 self.due = asked.max(now - period) + period;
                 self.held(now, (asked, number), lease, (version, check, pause))
