--- a/relays/src/relay.rs
+++ b/relays/src/relay.rs
@@ -1,8 +1,48 @@
-//! One relay.
+//! One relay: to the keepers a member under its own name, to its members a desk.
+//!
+//! # Why nobody below outlives its lease
+//!
+//! A relay holds its lease L, counted from its own asking, to be over after L - early(L) by its own clock; a keeper counts L from when
+//! it heard that asking. A member that is given l holds it to be over l - early(l) after its own asking, by its own clock. Clocks run
+//! apart by one part in 40 at the most between any two, and l + 1 is at most what is left to the relay: (l - l/40 + 39/40) * 41/40 is
+//! less than l + 1, so a member has stopped before its relay's lease is over by the relay's clock, and for the same reason that is
+//! before it is over by the keeper's. Each of the two hops has its own `early`, and needs no more than that.
+//!
+//! Where changes wait for everybody the relay's lease has no end until its yes; then `l` is the lease of the version in force, and is
+//! never counted from later than the yes: the keepers, who count that lease from hearing the yes, hold the relay for gone no sooner.
+//!
+//! # What a word upward says
+//!
+//! A yes: each member that holds a lease of this relay has said yes; from then on until that change is over, one that has not is given
+//! none. So whoever admits at the moment of the decision has the text. A pause is the same with "has stopped". One that asks another
+//! relay of its zone counts here until its lease from here is over, as that lease can't be called back.
+//!
+//! # A new life
+//!
+//! Its table is empty while members may hold leases of the former life. Under [`Missing::Fence`] that life is a member of its own at the
+//! keepers until its lease is over, and by then those of its members are: nothing has to be waited for. Under [`Missing::Wait`] the new
+//! life takes the former's place as soon as it joins: it says neither yes nor that all have stopped until the longest lease that a
+//! former life can have given (`most`) is over by its own clock. No version comes in force in between, as that needs its word. Leases
+//! it may give at once in both cases: they are in its table.
 
-use cypresscleat_rollout::member::Member;
-use cypresscleat_rollout::said::{Answer, Ask};
-use cypresscleat_rollout::{Id, Key, Time, Version};
+use cypresscleat_rollout::member::{Event, May, Member};
+use cypresscleat_rollout::policies::Stage;
+use cypresscleat_rollout::said::{Answer, Ask, Line, Verdict};
+use cypresscleat_rollout::watch::Seen;
+use cypresscleat_rollout::{cut, Id, Key, Missing, Rules, Time, Version, NAME, TOLD, WHY};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Members of one relay; one more is not answered, and asks another.
+pub const MEMBERS: usize = 4_096;
+/// Texts in memory, and as many on their way to the disk.
+const TEXTS: usize = 6;
+/// Members that are told of news in one step.
+const PUSHED: usize = 256;
+/// Lives that left and are remembered: as many as may leave while a letter is on its way.
+const LEFT: usize = 1_024;
+const LINES: usize = 256;
+/// A member is asked to come no more often than this part of the lease, so that a relay whose own lease is short is not asked by all.
+const OFTEN: Time = 16;
 
 /// What is to be done: words to keepers, words to members, texts to be put on the disk (`kept` says how that went).
 #[derive(Clone, Debug)]
@@ -18,57 +58,507 @@
     }
 }
 
+/// Guards that tests take out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Broken {
+    /// It says yes before all below have.
+    pub yes_alone: bool,
+    /// Leases below go on past its own.
+    pub longer: bool,
+    /// After its yes it gives leases to members that have not said yes.
+    pub to_all: bool,
+    /// It says that all have stopped once it has heard that they are to.
+    pub stops_alone: bool,
+    /// A new life speaks for all below at once, also where the former's place was taken.
+    pub no_wait: bool,
+}
+
+/// A member, as it was last heard.
+struct Below<A> {
+    at: A,
+    name: String,
+    heard: Time,
+    /// It may hold a lease of this relay until then.
+    until: Time,
+    /// Nothing is known of it after that.
+    goes: Time,
+    /// The newest change to which it said yes, and the newest for which it has stopped.
+    good: u64,
+    paused: u64,
+    has: u64,
+    seen: Seen,
+}
+
 /// `A` is where a member hears.
 pub struct Relay<A> {
     up: Member,
+    started: Time,
+    most: Time,
+    looked: Time,
+    below: BTreeMap<Key, Below<A>>,
+    /// The same by when they are forgotten.
+    oldest: BTreeSet<(Time, Key)>,
+    left: BTreeSet<Key>,
+    left_first: VecDeque<Key>,
+    texts: BTreeMap<u64, Version>,
+    /// On their way to the disk.
+    keeping: BTreeMap<u64, Version>,
+    /// The newest change that was heard of: an older one in a letter that came late is none.
+    newest: u64,
+    /// The change that members are asked about, and those with a lease that may not have said yes yet.
+    change: u64,
+    without: BTreeSet<Key>,
+    /// Its own yes, and the number of the asking that said it first; until that change is over.
+    yes: Option<(u64, u32)>,
+    refused: u64,
+    /// The change for which all are to stop, those that may not have, and the last for which all had.
+    pause: u64,
+    going: BTreeSet<Key>,
+    stopped: u64,
+    /// Version, change and pause that members were told of last, and who is still to be told.
+    told: (u64, u64, u64),
+    to_tell: VecDeque<Key>,
+    /// It gives no more leases; and has said so above, as the last is over.
+    leaving: bool,
+    gone: bool,
+    full: bool,
     log: Vec<String>,
-    _below: std::marker::PhantomData<A>,
+    pub broken: Broken,
 }
 
 impl<A: Copy + Ord> Relay<A> {
-    /// `most` is the longest lease that it gives, in any of its lives.
-    pub fn new(now: Time, name: &str, key: Key, keepers: Vec<Id>, _most: Time) -> Relay<A> {
-        let up = Member::new(now, name, key, keepers);
-        Relay { up, log: Vec::new(), _below: std::marker::PhantomData }
+    /// `most` is the longest lease that it gives, in any of its lives: to be raised by a restart, and lowered only after a wait.
+    pub fn new(now: Time, name: &str, key: Key, keepers: Vec<Id>, most: Time) -> Relay<A> {
+        let mut up = Member::new(now, name, key, keepers);
+        up.for_others();
+        Relay {
+            up,
+            started: now,
+            most: most.max(1),
+            looked: now,
+            below: BTreeMap::new(),
+            oldest: BTreeSet::new(),
+            left: BTreeSet::new(),
+            left_first: VecDeque::new(),
+            texts: BTreeMap::new(),
+            keeping: BTreeMap::new(),
+            newest: 0,
+            change: 0,
+            without: BTreeSet::new(),
+            yes: None,
+            refused: 0,
+            pause: 0,
+            going: BTreeSet::new(),
+            stopped: 0,
+            told: (0, 0, 0),
+            to_tell: VecDeque::new(),
+            leaving: false,
+            gone: false,
+            full: false,
+            log: Vec::new(),
+            broken: Broken::default(),
+        }
+    }
+
+    pub fn left(&self) -> bool {
+        self.up.left()
+    }
+    pub fn log(&mut self) -> impl Iterator<Item = String> + '_ {
+        self.log.drain(..)
+    }
+    pub fn members(&self) -> usize {
+        self.below.len()
+    }
+    pub fn in_force(&self) -> Option<u64> {
+        self.up.in_force()
     }
+    pub fn learns(&mut self, keeper: Id) {
+        self.up.learns(keeper);
+    }
+
+    /// A text that an earlier life kept.
+    pub fn knows(&mut self, version: Version) {
+        self.texts.insert(version.number, version);
+        self.cuts_texts();
+    }
+
+    /// When it has to look again, at the latest.
     pub fn due(&self) -> Time {
-        self.up.due()
+        if !self.to_tell.is_empty() {
+            return self.looked;
+        }
+        let goes = self.oldest.first().map_or(Time::MAX, |first| first.0);
+        // What waits for the first of those that have not answered waits for the end of its lease, or of the wait of a new life.
+        let waits = |set: &BTreeSet<Key>, ready: bool| match set.first().and_then(|key| self.below.get(key)) {
+            Some(one) if ready => one.until.max(self.looked + 1).max(self.ready_at()),
+            None if ready && self.looked < self.ready_at() => self.ready_at(),
+            _ => Time::MAX,
+        };
+        let asked = self.change != 0 && self.up.verdict(self.change).is_none();
+        let stops = self.pause != 0 && self.stopped != self.pause;
+        let ends = if self.leaving && !self.gone { self.lease_ends() } else { Time::MAX };
+        let own = waits(&self.without, asked).min(waits(&self.going, stops)).min(ends);
+        self.up.due().min(goes).min(own)
+    }
+
+    /// From when on it may speak for all below.
+    fn ready_at(&self) -> Time {
+        let (wanted, ..) = self.up.told();
+        let known = wanted == 0 || self.texts.contains_key(&wanted);
+        let fence = known && self.rules(wanted).missing == Missing::Fence;
+        if fence || self.broken.no_wait {
+            self.started
+        } else {
+            self.started + self.most
+        }
+    }
+
+    fn rules(&self, number: u64) -> Rules {
+        self.texts.get(&number).map_or(Rules::default(), |version| version.rules)
+    }
+
+    /// When the last lease is over; now where there is none.
+    fn lease_ends(&self) -> Time {
+        self.below.values().map(|one| one.until).max().unwrap_or(self.looked).max(self.looked)
+    }
+
+    fn says(&mut self, line: String) {
+        if self.log.len() < LINES {
+            self.log.push(line);
+        }
     }
+
     pub fn tick(&mut self, now: Time) -> Out<A> {
-        Out { up: self.up.tick(now), ..Out::default() }
+        let asks = self.up.tick(now);
+        self.settles(now, asks, Out::default())
     }
+
     /// A keeper's word.
     pub fn from_above(&mut self, now: Time, from: Id, answer: Answer) -> Out<A> {
-        Out { up: self.up.hear(now, from, answer), ..Out::default() }
+        let over = match &answer {
+            Answer::Held { key, number, check, .. } if *key == self.up.key() => {
+                // The change was over at a moment after the yes was said.
+                self.yes.is_some_and(|(of, since)| *check != of && number.wrapping_sub(since) < u32::MAX / 2)
+            }
+            _ => false,
+        };
+        if over {
+            self.yes = None;
+        }
+        let asks = self.up.hear(now, from, answer);
+        self.settles(now, asks, Out::default())
+    }
+
+    /// A text of `Out::keep` is on the disk, or can't be.
+    pub fn kept(&mut self, now: Time, number: u64, kept: Result<(), String>) -> Out<A> {
+        let mut asks = Vec::new();
+        match (self.keeping.remove(&number), kept) {
+            (Some(version), Ok(())) => {
+                self.texts.insert(number, version);
+                self.cuts_texts();
+            }
+            (_, Ok(())) => {}
+            (_, Err(why)) => {
+                self.says(format!("policy {number} can't be kept: {why}"));
+                asks = self.up.checked(now, number, Verdict::Bad(cut(&why, WHY)));
+            }
+        }
+        self.settles(now, asks, Out::default())
+    }
+
+    /// No more leases; its members ask another, and it goes once the last lease is over.
+    pub fn leaves(&mut self, now: Time) -> Out<A> {
+        self.leaving = true;
+        self.settles(now, Vec::new(), Out::default())
     }
+
     /// A member's word.
-    pub fn from_below(&mut self, _now: Time, _from: A, _ask: Ask) -> Out<A> {
-        Out::default()
+    pub fn from_below(&mut self, now: Time, from: A, ask: Ask) -> Out<A> {
+        let mut out = Out::default();
+        if !ask.bounded() {
+            return out;
+        }
+        let mut asks = Vec::new();
+        match ask {
+            Ask::Here { key, name, number, verdict, paused, has, seen, .. } => {
+                if self.hears(now, (from, key, &name), (paused, has, seen)) {
+                    asks = self.finds(now, key, verdict);
+                    // First what this letter changes, as its answer says how things stand after it.
+                    out = self.settles(now, std::mem::take(&mut asks), out);
+                    out.down.extend(self.holds(now, key, number).map(|answer| (from, answer)));
+                }
+            }
+            // Silence where it is not here: the member asks again, and another one by then.
+            Ask::Fetch { number, version } => {
+                if let Some(version) = self.texts.get(&version).cloned().map(Box::new) {
+                    out.down.push((from, Answer::Text { number, version: Some(version) }));
+                }
+            }
+            Ask::Leave { key, number } => {
+                self.forgets(key);
+                if self.left.insert(key) {
+                    self.left_first.push_back(key);
+                }
+                if self.left_first.len() > LEFT {
+                    self.left_first.pop_front().map(|first| self.left.remove(&first));
+                }
+                out.down.push((from, Answer::Done { number }));
+            }
+            Ask::Status { number, from: first } => out.down.push((from, self.status(now, number, first))),
+            Ask::Propose { .. } | Ask::Forget { .. } | Ask::History { .. } => {
+                out.down.push((from, Answer::Elsewhere { leader: 0 }));
+            }
+        }
+        self.settles(now, asks, out)
     }
-    /// A text of `Out::keep` is on the disk, or can't be.
-    pub fn kept(&mut self, _now: Time, _number: u64, _kept: Result<(), String>) -> Out<A> {
-        Out::default()
+
+    /// Takes down that a member is here; false where it is not to be heard.
+    fn hears(&mut self, now: Time, (at, key, name): (A, Key, &str), said: (u64, u64, Seen)) -> bool {
+        let (paused, has, seen) = said;
+        // Guards against a letter from before it left that comes late: nothing would end the wait for it but its lease.
+        if self.left.contains(&key) {
+            return false;
+        }
+        if !self.below.contains_key(&key) && self.below.len() >= MEMBERS {
+            if !std::mem::replace(&mut self.full, true) {
+                self.says(format!("{MEMBERS} members: no more are heard"));
+            }
+            return false;
+        }
+        let goes = now + self.rules(self.up.in_force().unwrap_or(0)).lease;
+        let one = self.below.entry(key).or_insert_with(|| Below {
+            at,
+            name: cut(name, NAME),
+            heard: now,
+            until: Time::MIN,
+            goes,
+            good: 0,
+            paused: 0,
+            has,
+            seen,
+        });
+        self.oldest.remove(&(one.goes, key));
+        one.goes = one.until.max(goes);
+        self.oldest.insert((one.goes, key));
+        (one.at, one.heard, one.has, one.paused) = (at, now, has, one.paused.max(paused));
+        // Sums only grow: what a member did since it was last heard here, and nothing for one that is new or counts anew.
+        let sum = &mut self.up.seen;
+        for (sum, last, new) in [
+            (&mut sum.asked, &mut one.seen.asked, seen.asked),
+            (&mut sum.in_time, &mut one.seen.in_time, seen.in_time),
+            (&mut sum.milli, &mut one.seen.milli, seen.milli),
+        ] {
+            *sum = sum.saturating_add(new.saturating_sub(*last));
+            *last = new.max(*last);
+        }
+        true
     }
-    /// A text that an earlier life kept.
-    pub fn knows(&mut self, version: Version) {
-        self.up.knows(version.number);
+
+    fn finds(&mut self, now: Time, key: Key, verdict: Option<(u64, Verdict)>) -> Vec<(Id, Ask)> {
+        let Some(one) = self.below.get_mut(&key) else { return Vec::new() };
+        match verdict {
+            Some((of, Verdict::Good)) => one.good = one.good.max(of),
+            Some((of, Verdict::Bad(why))) if of == self.change && of != 0 && self.refused != of => {
+                let why = cut(&format!("{}: {why}", one.name), WHY);
+                self.refused = of;
+                self.says(format!("policy {of} is refused: {why}"));
+                return self.up.checked(now, of, Verdict::Bad(why));
+            }
+            _ => {}
+        }
+        Vec::new()
     }
-    pub fn learns(&mut self, keeper: Id) {
-        self.up.learns(keeper);
+
+    fn forgets(&mut self, key: Key) {
+        if let Some(one) = self.below.remove(&key) {
+            self.oldest.remove(&(one.goes, key));
+        }
+        self.without.remove(&key);
+        self.going.remove(&key);
     }
-    pub fn leaves(&mut self, now: Time) -> Out<A> {
-        Out { up: self.up.leaves(now), ..Out::default() }
+
+    /// The lease that a member may be given: none at all, so that it asks another; or none before it has said what all have said.
+    fn lease(&self, now: Time, one: &Below<A>) -> Option<Time> {
+        let number = self.up.in_force()?;
+        if self.leaving || (self.up.may(now) == May::Nothing && !self.broken.longer) {
+            return None;
+        }
+        // One that is further than this relay would not take its word: it is to ask another.
+        if one.has > number {
+            return None;
+        }
+        let whole = self.rules(number).lease.min(self.most);
+        let rest = if self.broken.longer { whole } else { self.up.until().saturating_sub(now).min(whole) };
+        let lease = rest - 1;
+        if lease <= 0 {
+            return None;
+        }
+        let yes = self.yes.is_none_or(|(of, _)| of <= number || one.good >= of || self.broken.to_all);
+        let stopped = self.stopped <= number || one.paused >= self.stopped || self.broken.to_all;
+        Some(if yes && stopped { lease } else { 0 })
     }
-    pub fn left(&self) -> bool {
-        self.up.left()
+
+    fn holds(&mut self, now: Time, key: Key, number: u32) -> Option<Answer> {
+        let version = self.up.in_force()?;
+        let lease = self.lease(now, self.below.get(&key)?)?;
+        let whole = self.rules(version).lease.min(self.most);
+        let one = self.below.get_mut(&key)?;
+        if lease > 0 {
+            one.until = one.until.max(now + lease);
+            if self.change != 0 && one.good != self.change {
+                self.without.insert(key);
+            }
+            if self.pause != 0 && one.paused != self.pause {
+                self.going.insert(key);
+            }
+            self.oldest.remove(&(one.goes, key));
+            one.goes = one.goes.max(one.until);
+            self.oldest.insert((one.goes, key));
+        }
+        let (check, pause) = (self.change, self.pause);
+        let period = (lease.max(whole / (OFTEN / 4)) / 4).max(8);
+        Some(Answer::Held { key, number, lease: Some(lease), period, version, check, pause })
     }
-    pub fn log(&mut self) -> impl Iterator<Item = String> + '_ {
-        self.log.drain(..)
+
+    fn status(&self, now: Time, number: u32, first: Key) -> Answer {
+        let line = |(key, one): (&Key, &Below<A>)| Line {
+            key: *key,
+            name: one.name.clone(),
+            has: one.has,
+            verdict: (self.change != 0 && one.good == self.change).then_some(Verdict::Good),
+            paused: self.pause != 0 && one.paused == self.pause,
+            silent: now - one.heard,
+        };
+        let mut lines: Vec<Line> = self.below.range(first..).take(TOLD / 4 + 1).map(line).collect();
+        let more = lines.len() > TOLD / 4;
+        lines.truncate(TOLD / 4);
+        let stage = if self.pause == self.change { Stage::Closing } else { Stage::Asking };
+        let change = (self.change != 0).then_some((self.change, stage));
+        Answer::Status { number, now: self.up.in_force().unwrap_or(0), change, generation: 0, lines, more }
     }
-    pub fn members(&self) -> usize {
-        0
+
+    /// What follows from what was just heard: to be called at the end of each step.
+    fn settles(&mut self, now: Time, mut asks: Vec<(Id, Ask)>, mut out: Out<A>) -> Out<A> {
+        self.looked = self.looked.max(now);
+        while let Some((_, key)) = self.oldest.first().copied().filter(|first| first.0 <= now) {
+            self.forgets(key);
+        }
+        self.full &= self.below.len() >= MEMBERS;
+        let events: Vec<Event> = self.up.events().collect();
+        for event in events {
+            match event {
+                Event::Check { version } => {
+                    let known = self.texts.contains_key(&version.number);
+                    if !known && (self.keeping.len() < TEXTS || self.keeping.contains_key(&version.number)) {
+                        self.keeping.insert(version.number, (*version).clone());
+                        out.keep.push(*version);
+                    }
+                }
+                Event::InForce { number } => self.says(format!("policy {number} is in force")),
+                Event::Out { number } => {
+                    self.says(format!("no lease on policy {number}: no members are answered"))
+                }
+                Event::Holds { change } => self.says(format!("all stop for policy {change}")),
+            }
+        }
+        let (wanted, check, pause) = self.up.told();
+        // What is in force has been checked by whoever had to: only the text has to be here.
+        if wanted != 0 && self.up.verdict(wanted).is_none() && self.texts.contains_key(&wanted) {
+            asks.extend(self.up.checked(now, wanted, Verdict::Good));
+            return self.settles(now, asks, out);
+        }
+        self.newest = self.newest.max(check);
+        let change =
+            if check == self.newest && check > wanted && self.texts.contains_key(&check) { check } else { 0 };
+        if change != self.change {
+            self.change = change;
+            let lacks = |(key, one): (&Key, &Below<A>)| {
+                (change != 0 && one.until > now && one.good != change).then_some(*key)
+            };
+            self.without = self.below.iter().filter_map(lacks).collect();
+        }
+        if pause != self.pause {
+            self.pause = pause;
+            let goes = |(key, one): (&Key, &Below<A>)| {
+                (pause != 0 && one.until > now && one.paused != pause).then_some(*key)
+            };
+            self.going = self.below.iter().filter_map(goes).collect();
+        }
+        if self.yes.is_some_and(|(of, _)| of <= wanted) {
+            self.yes = None;
+        }
+        asks.extend(self.speaks(now));
+        for (_, ask) in &asks {
+            if let Ask::Here { number, verdict: Some((of, Verdict::Good)), .. } = ask {
+                if *of > wanted && self.yes.is_none_or(|yes| yes.0 < *of) {
+                    self.yes = Some((*of, *number));
+                }
+            }
+        }
+        let stands = (self.up.in_force().unwrap_or(0), self.change, self.pause);
+        if stands != self.told {
+            if stands.0 != self.told.0 || stands.1 > self.told.1 || stands.2 > self.told.2 {
+                self.to_tell = self.below.keys().copied().collect();
+            }
+            self.told = stands;
+        }
+        for key in self.to_tell.drain(..self.to_tell.len().min(PUSHED)) {
+            if let Some(one) = self.below.get(&key) {
+                out.down.push((one.at, Answer::News));
+            }
+        }
+        if self.leaving && !self.gone && self.lease_ends() <= now {
+            self.gone = true;
+            asks.extend(self.up.leaves(now));
+        }
+        // What is on its own disk or on its way there is not asked for.
+        let here = |ask: &Ask| matches!(ask, Ask::Fetch { version, .. } if self.texts.contains_key(version));
+        out.up.extend(asks.into_iter().filter(|(_, ask)| !here(ask)));
+        out
     }
-    pub fn in_force(&self) -> Option<u64> {
-        self.up.in_force()
+
+    /// Its words upward for all below, where they can be said.
+    fn speaks(&mut self, now: Time) -> Vec<(Id, Ask)> {
+        let mut asks = Vec::new();
+        if now < self.ready_at() {
+            return asks;
+        }
+        let (change, pause) = (self.change, self.pause);
+        let below = &self.below;
+        // The first that still has to answer is looked at, and no other: whoever is given a lease later comes in again.
+        let drain = |set: &mut BTreeSet<Key>, done: &dyn Fn(&Below<A>) -> bool| {
+            while let Some(key) = set.first().copied() {
+                if below.get(&key).is_some_and(|one| one.until > now && !done(one)) {
+                    return false;
+                }
+                set.pop_first();
+            }
+            true
+        };
+        let asked = change != 0 && self.up.verdict(change).is_none();
+        let all = asked && drain(&mut self.without, &|one| one.good == change);
+        let stops = pause != 0 && self.stopped != pause;
+        let still = stops && drain(&mut self.going, &|one| one.paused == pause);
+        if asked && (all || self.broken.yes_alone) {
+            asks.extend(self.up.checked(now, change, Verdict::Good));
+            self.says(format!("policy {change} is good for {} members", self.below.len()));
+        }
+        if stops && (still || self.broken.stops_alone) {
+            self.stopped = pause;
+            asks.extend(self.up.stopped(now, pause));
+        }
+        asks
+    }
+
+    /// Drops the oldest texts that nobody can ask for any more.
+    fn cuts_texts(&mut self) {
+        let (wanted, check, _) = self.up.told();
+        let keep = [wanted, check, self.up.in_force().unwrap_or(0)];
+        while self.texts.len() > TEXTS {
+            let Some(first) = self.texts.keys().copied().find(|number| !keep.contains(number)) else {
+                return;
+            };
+            self.texts.remove(&first);
+        }
     }
 }
--- /dev/null
+++ b/relays/src/sim.rs
@@ -0,0 +1,887 @@
+//! Keepers, relays and members in one simulated net: each with a clock and a disk of its own, letters lost, doubled and late, links
+//! between regions slower, zones with two relays, members directly at the keepers beside them. The rules are checked as it goes, at
+//! what changes and not by looks at everybody, so that thousands can be played. Deterministic by seed.
+
+use crate::relay::{self, Out, Relay};
+use cypresscleat_quorum::letter;
+use cypresscleat_quorum::sim::World;
+use cypresscleat_quorum::{Answer as Answered, Options};
+use cypresscleat_rollout::desk::Desk;
+use cypresscleat_rollout::member::{self, Event as Happens, May, Member};
+use cypresscleat_rollout::policies::{News, Policies, Rules, Version};
+use cypresscleat_rollout::said::{Answer, Ask, Verdict};
+use cypresscleat_rollout::{Chance, Id, Missing, Time, MS, SECOND};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    pub keepers: usize,
+    pub regions: usize,
+    pub zones: usize,
+    /// Relays of each zone; without any, all members are at the keepers.
+    pub relays: usize,
+    pub members: usize,
+    /// So many of them are at the keepers all the same.
+    pub direct: usize,
+    pub rules: Rules,
+    /// Time that a member takes to check a text and keep it, and a relay to keep it.
+    pub check: Time,
+    pub keep: Time,
+    /// A letter's way inside a region, and between two.
+    pub near: Time,
+    pub far: Time,
+    /// The longest lease that a relay gives.
+    pub most: Time,
+    pub member: member::Broken,
+    pub relay: relay::Broken,
+}
+
+impl Default for Setup {
+    fn default() -> Setup {
+        Setup {
+            keepers: 3,
+            regions: 2,
+            zones: 2,
+            relays: 2,
+            members: 8,
+            direct: 1,
+            rules: Rules { lease: SECOND, patience: 8 * SECOND, ..Rules::default() },
+            check: 5 * MS,
+            keep: 2 * MS,
+            near: MS,
+            far: 10 * MS,
+            most: SECOND,
+            member: member::Broken::default(),
+            relay: relay::Broken::default(),
+        }
+    }
+}
+
+/// Letters and bytes of one place, in all and in its busiest second.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub sent: u64,
+    pub sent_bytes: u64,
+    pub heard: u64,
+    pub heard_bytes: u64,
+    second: Time,
+    now: [u64; 2],
+    pub peak: u64,
+    pub peak_bytes: u64,
+}
+
+impl Traffic {
+    fn counts(&mut self, now: Time, bytes: u64, sent: bool) {
+        let (letters, sum) = match sent {
+            true => (&mut self.sent, &mut self.sent_bytes),
+            false => (&mut self.heard, &mut self.heard_bytes),
+        };
+        (*letters, *sum) = (*letters + 1, *sum + bytes);
+        if self.second != now / SECOND {
+            (self.second, self.now) = (now / SECOND, [0; 2]);
+        }
+        self.now = [self.now[0] + 1, self.now[1] + bytes];
+        self.peak = self.peak.max(self.now[0]);
+        self.peak_bytes = self.peak_bytes.max(self.now[1]);
+    }
+}
+
+enum Process {
+    Relay(Option<Box<Relay<usize>>>),
+    Member(Option<Box<Member>>),
+}
+
+/// A process and its disk: relays come first, then members.
+pub struct Place {
+    process: Process,
+    pub name: String,
+    id: Id,
+    lives: u64,
+    pub region: usize,
+    /// Whom it asks.
+    above: Vec<Id>,
+    /// Stands still until then.
+    pub stopped: Time,
+    /// Parts in a thousand by which its clock runs faster; and how far it is ahead.
+    pub rate: i64,
+    pub ahead: Time,
+    kept: BTreeMap<u64, Version>,
+    /// Checks and writes under way: when they end, and of what.
+    checks: Vec<(Time, Version)>,
+    letters: Vec<Letter>,
+    /// It refuses these.
+    pub refuses: BTreeSet<u64>,
+    /// It was told to leave.
+    pub drained: bool,
+    /// Nothing comes from it or to it.
+    pub cut: bool,
+    /// The earliest look that is in the heap.
+    planned: Time,
+    /// What it admits under, and the last version that it began with, with the time.
+    admits: Option<u64>,
+    pub began: (u64, Time),
+    pub traffic: Traffic,
+}
+
+#[derive(Clone, Debug)]
+enum Letter {
+    Ask(usize, Ask),
+    Answer(Id, Answer),
+}
+
+enum Event {
+    /// To a keeper.
+    Asks {
+        to: usize,
+        from: usize,
+        ask: Ask,
+        bytes: u64,
+    },
+    Arrives {
+        to: usize,
+        life: u64,
+        letter: Letter,
+        bytes: u64,
+    },
+    Looks(usize),
+    /// Nobody may admit under the second any more, as the first was taken.
+    Rule(u64, u64),
+}
+
+struct Planned(Time, u64, Event);
+
+impl PartialEq for Planned {
+    fn eq(&self, other: &Planned) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+impl Eq for Planned {}
+impl PartialOrd for Planned {
+    fn partial_cmp(&self, other: &Planned) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Planned {
+    /// The earliest is the greatest.
+    fn cmp(&self, other: &Planned) -> Ordering {
+        (other.0, other.1).cmp(&(self.0, self.1))
+    }
+}
+
+const OPERATOR: usize = usize::MAX;
+const RELAY: Id = 100;
+const MEMBER: Id = 100_000;
+
+pub struct Play {
+    pub setup: Setup,
+    pub world: World<Policies>,
+    pub desks: Vec<Desk<usize>>,
+    pub places: Vec<Place>,
+    /// Places of relays come before this one.
+    pub first_member: usize,
+    events: BinaryHeap<Planned>,
+    posted: u64,
+    chance: Chance,
+    /// Regions that reach no other.
+    pub apart: BTreeSet<usize>,
+    pub keepers: Vec<Traffic>,
+    pub proposed: BTreeMap<u64, Time>,
+    pub decided: BTreeMap<u64, (Time, bool)>,
+    pub reasons: BTreeMap<u64, String>,
+    /// When each version was first in force anywhere.
+    pub first: BTreeMap<u64, Time>,
+    /// How many admit under which version.
+    admit: BTreeMap<u64, usize>,
+    rules: BTreeMap<u64, Rules>,
+    /// What was wrong, the first of it.
+    pub wrong: Option<String>,
+    pub log: Vec<String>,
+    stuck: (Time, u64),
+}
+
+impl Play {
+    pub fn new(setup: Setup, seed: u64) -> Play {
+        let mut world = World::new(setup.keepers, Policies::default(), Options::default(), seed);
+        world.weather.delay = if setup.regions > 1 { setup.far } else { setup.near };
+        let mut play = Play {
+            setup,
+            world,
+            desks: (0..setup.keepers).map(|_| Desk::default()).collect(),
+            places: Vec::new(),
+            first_member: setup.zones * setup.relays,
+            events: BinaryHeap::new(),
+            posted: 0,
+            chance: Chance::new(seed ^ 0x5e1a),
+            apart: BTreeSet::new(),
+            keepers: vec![Traffic::default(); setup.keepers],
+            proposed: BTreeMap::new(),
+            decided: BTreeMap::new(),
+            reasons: BTreeMap::new(),
+            first: BTreeMap::new(),
+            admit: BTreeMap::new(),
+            rules: BTreeMap::from([(0, Rules::default())]),
+            wrong: None,
+            log: Vec::new(),
+            stuck: (0, 0),
+        };
+        let keepers: Vec<Id> = (1..=setup.keepers as Id).collect();
+        for at in 0..play.first_member {
+            let zone = at / setup.relays;
+            let name = format!("r{zone}{}", (b'a' + (at % setup.relays) as u8) as char);
+            play.adds(Process::Relay(None), name, RELAY + at as Id, zone, keepers.clone());
+        }
+        for at in 0..setup.members {
+            play.adds_member(at, at + setup.direct >= setup.members);
+        }
+        play
+    }
+
+    fn adds_member(&mut self, at: usize, direct: bool) {
+        let (zone, each) = (at % self.setup.zones, self.setup.relays);
+        let above: Vec<Id> = match direct || each == 0 {
+            true => (1..=self.setup.keepers as Id).collect(),
+            false => (0..each).map(|one| RELAY + (zone * each + one) as Id).collect(),
+        };
+        self.adds(Process::Member(None), format!("m{at}"), MEMBER + at as Id, zone, above);
+    }
+
+    fn adds(&mut self, process: Process, name: String, id: Id, zone: usize, above: Vec<Id>) {
+        self.places.push(Place {
+            process,
+            name,
+            id,
+            lives: 0,
+            region: zone % self.setup.regions,
+            above,
+            stopped: 0,
+            rate: 0,
+            ahead: 0,
+            kept: BTreeMap::new(),
+            checks: Vec::new(),
+            letters: Vec::new(),
+            refuses: BTreeSet::new(),
+            drained: false,
+            cut: false,
+            planned: Time::MAX,
+            admits: None,
+            began: (0, 0),
+            traffic: Traffic::default(),
+        });
+        self.start(self.places.len() - 1);
+    }
+
+    /// One more member joins; its place.
+    pub fn joins(&mut self) -> usize {
+        self.adds_member(self.places.len() - self.first_member, false);
+        self.places.len() - 1
+    }
+
+    fn clock(&self, at: usize) -> Time {
+        let one = &self.places[at];
+        self.world.now + self.world.now * one.rate / 1000 + one.ahead
+    }
+
+    /// When its clock shows `time`.
+    fn when(&self, at: usize, time: Time) -> Time {
+        let one = &self.places[at];
+        if time >= Time::MAX / 4 {
+            return Time::MAX;
+        }
+        let mut when = (time - one.ahead) * 1000 / (1000 + one.rate);
+        while when + when * one.rate / 1000 + one.ahead < time {
+            when += 1;
+        }
+        when
+    }
+
+    pub fn start(&mut self, at: usize) {
+        self.kill(at);
+        let now = self.clock(at);
+        let (most, member, relay) = (self.setup.most, self.setup.member, self.setup.relay);
+        let one = &mut self.places[at];
+        one.lives += 1;
+        (one.stopped, one.drained) = (0, false);
+        let (key, above) = ((one.id, one.lives), one.above.clone());
+        match &mut one.process {
+            Process::Relay(process) => {
+                let mut new = Box::new(Relay::new(now, &one.name, key, above, most));
+                new.broken = relay;
+                one.kept.values().for_each(|version| new.knows(version.clone()));
+                *process = Some(new);
+            }
+            Process::Member(process) => {
+                let mut new = Box::new(Member::new(now, &one.name, key, above));
+                new.broken = member;
+                one.kept.keys().for_each(|number| new.knows(*number));
+                *process = Some(new);
+            }
+        }
+        self.plans(at);
+    }
+
+    pub fn kill(&mut self, at: usize) {
+        let one = &mut self.places[at];
+        match &mut one.process {
+            Process::Relay(process) => *process = None,
+            Process::Member(process) => *process = None,
+        }
+        one.letters.clear();
+        one.checks.clear();
+        self.judges(at);
+    }
+
+    pub fn lose_disk(&mut self, at: usize) {
+        self.kill(at);
+        self.places[at].kept.clear();
+    }
+
+    pub fn runs(&self, at: usize) -> bool {
+        match &self.places[at].process {
+            Process::Relay(process) => process.is_some(),
+            Process::Member(process) => process.is_some(),
+        }
+    }
+
+    /// It stands still for so long; letters wait for it.
+    pub fn stop(&mut self, at: usize, time: Time) {
+        self.places[at].stopped = self.world.now + time;
+        self.judges(at);
+        self.plans(at);
+    }
+
+    pub fn drain(&mut self, at: usize) {
+        let now = self.clock(at);
+        self.places[at].drained = true;
+        match &mut self.places[at].process {
+            Process::Relay(Some(relay)) => {
+                let out = relay.leaves(now);
+                self.carries(at, out);
+            }
+            Process::Member(Some(member)) => {
+                let asks = member.leaves(now);
+                self.asks(at, asks);
+            }
+            _ => {}
+        }
+        self.judges(at);
+        self.plans(at);
+    }
+
+    pub fn relay(&self, at: usize) -> Option<&Relay<usize>> {
+        match &self.places[at].process {
+            Process::Relay(process) => process.as_deref(),
+            Process::Member(_) => None,
+        }
+    }
+
+    /// An operator proposes a version, made from `parent`, to the keeper that leads; or to any, where none does.
+    pub fn propose(&mut self, parent: u64, rules: Rules, text: &str) {
+        let to = self.world.leader().unwrap_or(0);
+        let at_ms = self.world.now as u64;
+        let (by, hash) = ("operator".to_string(), self.posted);
+        let version = Version { parent, rules, text: text.into(), by, at_ms, hash, ..Version::default() };
+        let ask = Ask::Propose { number: 1, version };
+        self.plan(self.world.now + self.setup.near, Event::Asks { to, from: OPERATOR, ask, bytes: 0 });
+    }
+
+    /// An operator says that a process will not come back.
+    pub fn forget(&mut self, at: usize) {
+        let to = self.world.leader().unwrap_or(0);
+        let ask = Ask::Forget { number: 2, member: self.places[at].id };
+        self.plan(self.world.now + self.setup.near, Event::Asks { to, from: OPERATOR, ask, bytes: 0 });
+    }
+
+    /// The version in force as the keepers have it.
+    pub fn now(&self) -> u64 {
+        let leader = self.world.leader().and_then(|at| self.world.seats[at].keeper.as_ref());
+        leader.map_or(0, |keeper| keeper.machine().now().number)
+    }
+
+    /// Lives that count at the keepers.
+    pub fn counted(&self) -> usize {
+        let leader = self.world.leader().and_then(|at| self.world.seats[at].keeper.as_ref());
+        leader.map_or(0, |keeper| keeper.machine().members().len())
+    }
+
+    pub fn may(&self, at: usize) -> May {
+        match &self.places[at].process {
+            Process::Member(Some(member)) => member.may(self.clock(at)),
+            _ => May::Nothing,
+        }
+    }
+
+    /// How many admit under it.
+    pub fn admitting(&self, number: u64) -> usize {
+        self.admit.get(&number).copied().unwrap_or(0)
+    }
+
+    fn plan(&mut self, time: Time, event: Event) {
+        self.posted += 1;
+        self.events.push(Planned(time, self.posted, event));
+    }
+
+    fn region(&self, keeper: usize) -> usize {
+        keeper % self.setup.regions
+    }
+
+    /// Whether a letter gets through, how long it takes, and how often it comes.
+    fn way(&mut self, from: usize, to: usize) -> Option<Vec<Time>> {
+        let weather = self.world.weather;
+        let far = from != to;
+        let cut = far && (self.apart.contains(&from) || self.apart.contains(&to));
+        if (weather.lost > 0 && self.chance.one_in(weather.lost)) || cut {
+            return None;
+        }
+        let twice = weather.doubled > 0 && self.chance.one_in(weather.doubled);
+        let base = if far { self.setup.far } else { self.setup.near };
+        let ways = (0..1 + usize::from(twice)).map(|_| {
+            let mut way = base + self.chance.below(self.setup.near.max(1) as u64) as Time;
+            if weather.slow > 0 && self.chance.one_in(20) {
+                way += self.chance.below(weather.slow as u64) as Time;
+            }
+            way
+        });
+        Some(ways.collect())
+    }
+
+    fn asks(&mut self, from: usize, asks: Vec<(Id, Ask)>) {
+        let now = self.world.now;
+        for (to, ask) in asks {
+            let bytes = letter::write(&ask).map_or(0, |bytes| bytes.len() as u64);
+            self.places[from].traffic.counts(now, bytes, true);
+            let (own, cut) = (self.places[from].region, self.places[from].cut);
+            let keeper = (to < RELAY).then_some(to as usize - 1);
+            let region = match keeper {
+                Some(at) => self.region(at),
+                None => self.places[(to - RELAY) as usize].region,
+            };
+            for way in self.way(own, region).filter(|_| !cut).unwrap_or_default() {
+                let event = match keeper {
+                    Some(to) => Event::Asks { to, from, ask: ask.clone(), bytes },
+                    None => {
+                        let (to, letter) = ((to - RELAY) as usize, Letter::Ask(from, ask.clone()));
+                        Event::Arrives { to, life: 0, letter, bytes }
+                    }
+                };
+                self.plan(now + way, event);
+            }
+        }
+    }
+
+    fn answers(&mut self, from: Id, region: usize, to: usize, answer: &Answer) -> u64 {
+        let bytes = letter::write(answer).map_or(0, |bytes| bytes.len() as u64);
+        let now = self.world.now;
+        for way in self.way(region, self.places[to].region).unwrap_or_default() {
+            let (life, letter) = (self.places[to].lives, Letter::Answer(from, answer.clone()));
+            self.plan(now + way, Event::Arrives { to, life, letter, bytes });
+        }
+        bytes
+    }
+
+    fn carries(&mut self, at: usize, out: Out<usize>) {
+        let (now, keep) = (self.world.now, self.setup.keep);
+        self.places[at].checks.extend(out.keep.into_iter().map(|version| (now + keep, version)));
+        self.asks(at, out.up);
+        let (id, region, cut) = (self.places[at].id, self.places[at].region, self.places[at].cut);
+        for (to, answer) in out.down {
+            let bytes = if cut { 0 } else { self.answers(id, region, to, &answer) };
+            self.places[at].traffic.counts(now, bytes, true);
+        }
+    }
+
+    /// What a keeper's step asks for, its desk's words with it.
+    fn after(&mut self, at: usize) {
+        let now = self.world.now;
+        let (own, others): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.world.answers).into_iter().partition(|one| one.0 == at);
+        self.world.answers = others;
+        let answers: Vec<Answered> = own.into_iter().map(|one| one.1).collect();
+        let Some(keeper) = self.world.seats[at].keeper.as_mut() else { return };
+        let (out, said) = self.desks[at].look(now, keeper, answers);
+        self.desks[at].log().for_each(drop);
+        for news in keeper.machine_mut().take_news() {
+            match news {
+                News::Proposed { number, .. } => drop(self.proposed.entry(number).or_insert(now)),
+                News::Taken { number } => self.decides(at, number, true),
+                News::Dropped { number, reason } => {
+                    self.decides(at, number, false);
+                    self.reasons.insert(number, reason);
+                }
+                _ => {}
+            }
+        }
+        self.keeper_says(at, out, said);
+    }
+
+    fn keeper_says(&mut self, at: usize, out: cypresscleat_quorum::Out, said: Vec<(usize, Answer)>) {
+        self.world.carry(at, out);
+        for (to, answer) in said {
+            if to != OPERATOR {
+                let cut = self.places[to].cut;
+                let bytes = if cut { 0 } else { self.answers(at as Id + 1, self.region(at), to, &answer) };
+                self.keepers[at].counts(self.world.now, bytes, true);
+            }
+        }
+        if self.world.answers.iter().any(|one| one.0 == at) {
+            self.after(at);
+        }
+    }
+
+    fn decides(&mut self, keeper: usize, number: u64, taken: bool) {
+        let now = self.world.now;
+        if let Some(known) = self.decided.get(&number) {
+            if known.1 != taken {
+                self.wrong.get_or_insert(format!("version {number} was decided both ways"));
+            }
+            return;
+        }
+        self.decided.insert(number, (now, taken));
+        let agreed = self.world.seats[keeper].keeper.as_ref().map(|keeper| keeper.machine());
+        let rules = agreed.and_then(|agreed| agreed.version(number)).map(|version| version.rules);
+        self.rules.insert(number, rules.unwrap_or_default());
+        if !taken {
+            return;
+        }
+        // Whoever may admit now, or holds for the change, has it on its disk.
+        for at in self.first_member..self.places.len() {
+            if self.places[at].stopped <= now && self.may(at) != May::Nothing {
+                let one = &self.places[at];
+                if !one.kept.contains_key(&number) {
+                    let wrong =
+                        format!("version {number} was taken, and {} admits without having it", one.name);
+                    self.wrong.get_or_insert(wrong);
+                }
+            }
+        }
+        // And under an older one for no longer than its lease.
+        let older: Vec<(u64, Time)> =
+            self.rules.range(..number).map(|(older, rules)| (*older, rules.lease)).collect();
+        for (older, lease) in older {
+            self.plan(now + lease + 1, Event::Rule(number, older));
+        }
+    }
+
+    /// Follows what a member admits under, and looks at the rules where that changed.
+    fn judges(&mut self, at: usize) {
+        if at < self.first_member {
+            return;
+        }
+        let now = self.world.now;
+        let stands = self.places[at].stopped > now;
+        let admits = match self.may(at) {
+            May::Admit(number) if !stands => Some(number),
+            _ => None,
+        };
+        let before = std::mem::replace(&mut self.places[at].admits, admits);
+        if before == admits {
+            return;
+        }
+        if let Some(many) = before.and_then(|before| self.admit.get_mut(&before)) {
+            *many -= 1;
+        }
+        let Some(number) = admits else { return };
+        *self.admit.entry(number).or_insert(0) += 1;
+        if self.places[at].began.0 != number {
+            self.places[at].began = (number, now);
+        }
+        if number != 0 && !self.decided.get(&number).is_some_and(|decided| decided.1) {
+            let name = &self.places[at].name;
+            self.wrong.get_or_insert(format!("{name} goes by version {number}, which was not taken"));
+        }
+        let newest = self.first.keys().next_back().copied().unwrap_or(0);
+        if number > newest {
+            self.first.insert(number, now);
+            if self.rules.get(&number).is_some_and(|rules| rules.together) {
+                let older: Vec<u64> = self.admit.range(..number).map(|one| *one.0).collect();
+                older.into_iter().for_each(|older| self.nobody(older, number));
+            }
+        } else if number < newest {
+            let lease = self.rules.get(&number).map_or(SECOND, |rules| rules.lease);
+            let together = self.rules.get(&newest).is_some_and(|rules| rules.together);
+            let late = self.decided.range(number + 1..).any(|(_, one)| one.1 && now > one.0 + lease);
+            if together || late {
+                let name = &self.places[at].name;
+                self.wrong
+                    .get_or_insert(format!("{name} begins to admit under {number}, {newest} is in force"));
+            }
+        }
+    }
+
+    /// Nobody may admit under `older` at this moment, as `number` is there.
+    fn nobody(&mut self, older: u64, number: u64) {
+        if self.admitting(older) == 0 {
+            return;
+        }
+        let now = self.world.now;
+        let one = (self.first_member..self.places.len())
+            .find(|at| self.places[*at].stopped <= now && self.may(*at) == May::Admit(older));
+        if let Some(at) = one {
+            let since = self.decided.get(&number).map_or(0, |decided| (now - decided.0) / MS);
+            let name = &self.places[at].name;
+            let wrong = format!("{name} admits under {older} beside {number}, {since} ms after it was taken");
+            self.wrong.get_or_insert(wrong);
+        }
+    }
+
+    /// Puts its next look into the heap.
+    fn plans(&mut self, at: usize) {
+        let due = match &self.places[at].process {
+            Process::Relay(Some(relay)) => relay.due(),
+            Process::Member(Some(member)) => member.due(),
+            _ => Time::MAX,
+        };
+        let due = self.when(at, due);
+        let one = &self.places[at];
+        let check = one.checks.iter().map(|check| check.0).min().unwrap_or(Time::MAX);
+        let letter = if one.letters.is_empty() { Time::MAX } else { 0 };
+        let due = due.min(check).min(letter).max(one.stopped).max(self.world.now);
+        if due < one.planned && due < Time::MAX {
+            self.places[at].planned = due;
+            self.plan(due, Event::Looks(at));
+        }
+    }
+
+    pub fn run(&mut self, until: Time) {
+        while self.world.now < until {
+            self.step(until);
+        }
+    }
+
+    fn step(&mut self, until: Time) {
+        let again = if self.stuck.0 == self.world.now { self.stuck.1 + 1 } else { 0 };
+        self.stuck = (self.world.now, again);
+        assert!(again < 1_000_000, "time stands still at {}", self.world.now);
+        let event = self.events.peek().map_or(until, |event| event.0);
+        let desk = self.desks.iter().map(Desk::due).min().unwrap_or(until);
+        let next = until.min(event).min(desk).max(self.world.now);
+        if self.world.step(next) {
+            (0..self.setup.keepers).for_each(|at| self.after(at));
+            return;
+        }
+        self.world.now = self.world.now.max(next);
+        if desk <= next {
+            (0..self.setup.keepers).for_each(|at| self.after(at));
+        }
+        if event > next || next >= until {
+            return;
+        }
+        let Some(Planned(time, _, event)) = self.events.pop() else { return };
+        match event {
+            Event::Asks { to, from, ask, bytes } => {
+                self.keepers[to].counts(next, bytes, false);
+                let Some(keeper) = self.world.seats[to].keeper.as_mut() else { return };
+                let (out, said) = self.desks[to].hear(next, keeper, from, ask);
+                self.keeper_says(to, out, said);
+                self.after(to);
+            }
+            Event::Arrives { to, life, letter, bytes } => {
+                let one = &mut self.places[to];
+                // A member's socket is new with each life; a relay's has its place in the operator's file.
+                let other = life != one.lives && to >= self.first_member;
+                if one.cut || other {
+                    return;
+                }
+                one.traffic.counts(next, bytes, false);
+                one.letters.push(letter);
+                if one.stopped <= next {
+                    self.acts(to);
+                }
+            }
+            Event::Looks(at) => {
+                if self.places[at].planned == time {
+                    self.places[at].planned = Time::MAX;
+                }
+                if self.places[at].stopped <= next {
+                    self.acts(at);
+                } else {
+                    self.plans(at);
+                }
+            }
+            Event::Rule(number, older) => self.nobody(older, number),
+        }
+    }
+
+    /// As a process that wakes: its own time first, then what waits for it.
+    fn acts(&mut self, at: usize) {
+        let (now, clock) = (self.world.now, self.clock(at));
+        let one = &mut self.places[at];
+        let letters = std::mem::take(&mut one.letters);
+        let done: Vec<Version> =
+            one.checks.iter().filter(|check| check.0 <= now).map(|check| check.1.clone()).collect();
+        one.checks.retain(|check| check.0 > now);
+        match &mut one.process {
+            Process::Relay(Some(relay)) => {
+                let mut outs = Vec::new();
+                if clock >= relay.due() {
+                    outs.push(relay.tick(clock));
+                }
+                outs.extend(letters.into_iter().map(|letter| match letter {
+                    Letter::Ask(from, ask) => relay.from_below(clock, from, ask),
+                    Letter::Answer(from, answer) => relay.from_above(clock, from, answer),
+                }));
+                for version in done {
+                    let number = version.number;
+                    one.kept.insert(number, version);
+                    outs.push(relay.kept(clock, number, Ok(())));
+                }
+                while one.kept.len() > 4 {
+                    one.kept.pop_first();
+                }
+                relay.log().for_each(drop);
+                outs.into_iter().for_each(|out| self.carries(at, out));
+            }
+            Process::Member(Some(member)) => {
+                let mut asks = member.tick(clock);
+                for letter in letters {
+                    if let Letter::Answer(from, answer) = letter {
+                        asks.extend(member.hear(clock, from, answer));
+                    }
+                }
+                for version in done {
+                    let number = version.number;
+                    let verdict = match one.refuses.contains(&number) {
+                        true => Verdict::Bad("line 1: no such thing".into()),
+                        false => Verdict::Good,
+                    };
+                    if verdict == Verdict::Good {
+                        one.kept.insert(number, version);
+                    }
+                    asks.extend(member.checked(clock, number, verdict));
+                }
+                for event in member.events() {
+                    if let Happens::Check { version } = event {
+                        one.checks.push((now + self.setup.check, *version));
+                    }
+                }
+                self.asks(at, asks);
+                self.judges(at);
+            }
+            _ => {}
+        }
+        self.plans(at);
+    }
+
+    /// Faults of all kinds drawn from the play's chance, changes proposed every few seconds, for so long.
+    pub fn faults(&mut self, time: Time) {
+        let end = self.world.now + time;
+        let mut text = 0;
+        for at in 0..self.places.len() {
+            // Two of them are apart by less than one part in 40.
+            self.places[at].rate = self.chance.below(25) as i64 - 12;
+            // So that no clock jumps as its rate changes.
+            self.places[at].ahead -= self.world.now * self.places[at].rate / 1000;
+            self.plans(at);
+        }
+        while self.world.now < end && self.wrong.is_none() && self.world.wrong.is_none() {
+            let until = self.world.now + 50 * MS + self.chance.below(500) as Time * MS;
+            let any = self.chance.below(self.places.len() as u64) as usize;
+            // Relays as often as all members.
+            let relay = self.chance.below(self.first_member.max(1) as u64) as usize;
+            let at = if self.first_member > 0 && self.chance.one_in(2) { relay } else { any };
+            let keeper = self.chance.below(self.setup.keepers as u64) as usize;
+            match self.chance.below(18) {
+                0 => self.kill(at),
+                1 | 2 => {
+                    if !self.runs(at) || self.places[at].drained {
+                        self.start(at);
+                    }
+                }
+                3 => {
+                    let time = self.chance.below(40) as Time * SECOND / 10;
+                    self.stop(at, time);
+                }
+                4 => self.places[at].cut = true,
+                5 => self.places.iter_mut().for_each(|one| one.cut = false),
+                6 => {
+                    self.lose_disk(at);
+                    if self.chance.one_in(2) {
+                        self.start(at);
+                    }
+                }
+                7 => self.drain(at),
+                8 => self.world.kill(keeper),
+                9 => {
+                    for at in 0..self.setup.keepers {
+                        if self.world.seats[at].keeper.is_none() {
+                            self.world.start(at);
+                        }
+                    }
+                }
+                // At once again, as a supervisor does it.
+                10 => self.start(at),
+                11 => {
+                    let region = self.chance.below(self.setup.regions as u64) as usize;
+                    self.parts(region);
+                }
+                12 => self.joined(),
+                13 if self.places.len() < self.first_member + self.setup.members + 4 => drop(self.joins()),
+                _ => {
+                    text += 1;
+                    let mut rules = self.setup.rules;
+                    rules.together = self.chance.one_in(2);
+                    if self.chance.one_in(4) {
+                        rules.missing = match rules.missing {
+                            Missing::Fence => Missing::Wait,
+                            Missing::Wait => Missing::Fence,
+                        };
+                    }
+                    if self.chance.one_in(4) {
+                        rules.lease /= 2;
+                    }
+                    let next = self.proposed.keys().next_back().copied().unwrap_or(0) + 1;
+                    if self.chance.one_in(4) && any >= self.first_member {
+                        self.places[any].refuses.insert(next);
+                    }
+                    self.propose(self.now(), rules, &format!("text {text}"));
+                }
+            }
+            self.run(until);
+        }
+    }
+
+    /// A region reaches no other.
+    pub fn parts(&mut self, region: usize) {
+        self.apart.insert(region);
+        for (one, other) in
+            (0..self.setup.keepers).flat_map(|one| (0..self.setup.keepers).map(move |other| (one, other)))
+        {
+            if (self.region(one) == region) != (self.region(other) == region) {
+                self.world.cut.insert((one as Id + 1, other as Id + 1));
+            }
+        }
+    }
+
+    /// All regions are together again.
+    pub fn joined(&mut self) {
+        self.apart.clear();
+        self.world.cut.clear();
+    }
+
+    /// All links as new, all processes there and awake.
+    pub fn peace(&mut self) {
+        self.joined();
+        for at in 0..self.setup.keepers {
+            if self.world.seats[at].keeper.is_none() {
+                self.world.start(at);
+            }
+        }
+        for at in 0..self.places.len() {
+            let one = &mut self.places[at];
+            (one.cut, one.stopped) = (false, one.stopped.min(self.world.now));
+            if !self.runs(at) || self.places[at].drained {
+                self.start(at);
+            }
+            self.plans(at);
+        }
+    }
+
+    /// Whether all members admit under the version that is in force, but for those that can't carry it out.
+    pub fn settled(&self) -> bool {
+        let now = self.now();
+        (self.first_member..self.places.len()).all(|at| match self.places[at].refuses.contains(&now) {
+            false => self.may(at) == May::Admit(now),
+            true => self.may(at) == May::Nothing,
+        })
+    }
+}
--- /dev/null
+++ b/relays/tests/relays.rs
@@ -0,0 +1,300 @@
+//! Relays in a simulated net: each hard case by itself, then faults by chance over many seeds, then the same with guards taken out,
+//! which has to be found.
+
+use cypresscleat_relays::relay::Broken;
+use cypresscleat_relays::sim::{Play, Setup};
+use cypresscleat_rollout::member::May;
+use cypresscleat_rollout::policies::{Missing, Rules};
+use cypresscleat_rollout::{Time, MS, SECOND};
+
+fn rules() -> Rules {
+    Setup::default().rules
+}
+
+fn wait() -> Rules {
+    Rules { missing: Missing::Wait, ..rules() }
+}
+
+fn together(rules: Rules) -> Rules {
+    Rules { together: true, ..rules }
+}
+
+/// Members joined and served under their own file, then under a version with these rules.
+fn play(setup: Setup, seed: u64) -> Play {
+    let mut play = Play::new(setup, seed);
+    runs_until(&mut play, 4 * SECOND, Play::settled);
+    play.propose(0, setup.rules, "first");
+    runs_until(&mut play, 5 * SECOND, |play| play.now() == 1 && play.settled());
+    play
+}
+
+fn good(play: &Play) {
+    assert_eq!(play.wrong.as_deref().or(play.world.wrong.as_deref()), None);
+}
+
+fn runs(play: &mut Play, time: Time) {
+    let until = play.world.now + time;
+    play.run(until);
+    good(play);
+}
+
+fn runs_until(play: &mut Play, most: Time, done: impl Fn(&Play) -> bool) {
+    let end = play.world.now + most;
+    while !done(play) {
+        let mays: Vec<May> = (play.first_member..play.places.len()).map(|at| play.may(at)).collect();
+        assert!(play.world.now < end, "it never came: {:?} {:?} {mays:?}", play.decided, play.reasons);
+        runs(play, 5 * MS);
+    }
+}
+
+/// Places of the relays and members of the first zone, which is in the first region.
+fn zone(play: &Play) -> (Vec<usize>, Vec<usize>) {
+    let members = play.first_member..play.places.len() - play.setup.direct;
+    (vec![0, 1], members.step_by(play.setup.zones).collect())
+}
+
+#[test]
+fn keepers_count_relays_and_a_change_is_in_force_everywhere_or_nowhere() {
+    let mut play = play(Setup { members: 40, ..Setup::default() }, 1);
+    assert_eq!(play.counted(), 4 + 1, "four relays, and a member that asks the keepers");
+    assert_eq!((0..4).map(|at| play.relay(at).map_or(0, |relay| relay.members())).sum::<usize>(), 39);
+    assert!(play.decided[&1].0 - play.proposed[&1] < 400 * MS);
+    let refuses = play.first_member + 3;
+    play.places[refuses].refuses.insert(2);
+    play.propose(1, rules(), "second");
+    runs_until(&mut play, SECOND, |play| play.decided.contains_key(&2));
+    let reason = &play.reasons[&2];
+    assert!(!play.decided[&2].1 && reason.ends_with(": m3: line 1: no such thing"), "{reason}");
+    runs(&mut play, 2 * SECOND);
+    assert!(play.settled() && play.now() == 1);
+}
+
+#[test]
+fn a_relay_dies_and_its_members_ask_the_other_one() {
+    for (seed, missing) in [(2, Missing::Fence), (3, Missing::Wait)] {
+        let rules = Rules { missing, ..rules() };
+        let mut play = play(Setup { rules, ..Setup::default() }, seed);
+        play.kill(0);
+        play.propose(1, rules, "second");
+        runs(&mut play, 3 * SECOND);
+        // Under `wait` it counts until it is here again, or an operator says that it won't be.
+        assert_eq!(play.decided.contains_key(&2), missing == Missing::Fence);
+        assert!(play.settled(), "the zone serves by its other relay");
+        play.start(0);
+        runs_until(&mut play, 4 * SECOND, |play| play.now() == 2 && play.settled());
+        play.lose_disk(0);
+        play.start(0);
+        play.propose(2, rules, "third");
+        runs_until(&mut play, 5 * SECOND, |play| play.now() == 3 && play.settled());
+        runs_until(&mut play, 5 * SECOND, |play| play.relay(0).and_then(|relay| relay.in_force()) == Some(3));
+    }
+}
+
+#[test]
+fn a_relay_that_is_cut_off_stops_its_members_before_a_change_goes_on_without_them() {
+    // One relay each, so that nobody can go elsewhere.
+    let mut play = play(Setup { relays: 1, ..Setup::default() }, 4);
+    let members: Vec<usize> = (play.first_member..play.places.len() - 1).step_by(2).collect();
+    play.places[0].cut = true;
+    play.propose(1, rules(), "second");
+    runs_until(&mut play, 4 * SECOND, |play| play.decided.contains_key(&2));
+    assert!(play.decided[&2].1);
+    assert!(members.iter().all(|at| play.may(*at) == May::Nothing));
+    play.places[0].cut = false;
+    runs_until(&mut play, 4 * SECOND, Play::settled);
+}
+
+#[test]
+fn a_relay_that_stands_still_past_its_lease_gives_none_when_it_wakes() {
+    let mut play = play(Setup { relays: 1, ..Setup::default() }, 5);
+    play.stop(0, 4 * SECOND);
+    play.propose(1, rules(), "second");
+    runs(&mut play, 4 * SECOND);
+    assert_eq!(play.now(), 2);
+    runs_until(&mut play, 4 * SECOND, Play::settled);
+}
+
+#[test]
+fn a_region_is_apart_for_long_and_comes_back_under_what_is_in_force_then() {
+    let mut play = play(Setup { regions: 4, zones: 4, members: 40, keepers: 3, ..Setup::default() }, 6);
+    play.parts(3);
+    play.propose(1, rules(), "second");
+    runs_until(&mut play, 4 * SECOND, |play| play.now() == 2);
+    let apart = |play: &Play| {
+        (play.first_member..play.places.len())
+            .filter(|at| play.places[*at].region == 3)
+            .map(|at| play.may(at))
+            .collect::<Vec<_>>()
+    };
+    runs(&mut play, 60 * SECOND);
+    assert!(apart(&play).iter().all(|may| *may == May::Nothing), "its relays have no lease");
+    play.joined();
+    runs_until(&mut play, 4 * SECOND, Play::settled);
+}
+
+#[test]
+fn all_relays_of_a_zone_are_gone_and_come_back_from_empty_disks() {
+    let mut play = play(Setup::default(), 7);
+    let (relays, members) = zone(&play);
+    relays.iter().for_each(|at| play.lose_disk(*at));
+    play.propose(1, rules(), "second");
+    runs_until(&mut play, 4 * SECOND, |play| play.now() == 2);
+    assert!(members.iter().all(|at| play.may(*at) == May::Nothing));
+    relays.iter().for_each(|at| play.start(*at));
+    runs_until(&mut play, 4 * SECOND, Play::settled);
+}
+
+#[test]
+fn a_relay_that_leaves_waits_for_the_leases_that_it_gave() {
+    let mut play = play(Setup::default(), 8);
+    let counted = play.counted();
+    play.drain(0);
+    runs(&mut play, 200 * MS);
+    assert!(!play.relay(0).is_some_and(|relay| relay.left()) && play.counted() == counted);
+    runs_until(&mut play, 3 * SECOND, |play| play.relay(0).is_some_and(|relay| relay.left()));
+    runs_until(&mut play, SECOND, |play| play.counted() == counted - 1);
+    play.propose(1, rules(), "second");
+    runs_until(&mut play, 3 * SECOND, |play| play.now() == 2 && play.settled());
+}
+
+#[test]
+fn together_nobody_admits_under_the_old_one_beside_the_new_one() {
+    for seed in 0..12 {
+        let rules = if seed % 2 == 0 { rules() } else { wait() };
+        let mut play = play(Setup { rules, check: 200 * MS, ..Setup::default() }, 200 + seed);
+        play.world.weather.slow = 300 * MS;
+        play.world.weather.lost = 10;
+        play.propose(1, together(rules), "second");
+        let member = play.first_member + 1;
+        runs(&mut play, 100 * MS);
+        play.places[member].cut = true;
+        runs_until(&mut play, 9 * SECOND, |play| play.decided.contains_key(&2));
+        play.places[member].cut = false;
+        if play.decided[&2].1 {
+            runs_until(&mut play, 9 * SECOND, |play| play.now() == 2 && play.settled());
+        }
+    }
+}
+
+/// Under `wait` a new life takes the former's place at the keepers at once, and knows nothing of the leases that are out.
+#[test]
+fn a_new_life_speaks_for_its_members_only_once_the_former_leases_are_over() {
+    let mut play = play(Setup { relays: 1, rules: wait(), ..Setup::default() }, 9);
+    let member = play.first_member;
+    play.places[member].cut = true;
+    play.start(0);
+    let began = play.world.now;
+    play.propose(1, together(wait()), "second");
+    runs_until(&mut play, 5 * SECOND, |play| play.now() == 2);
+    assert!(play.decided[&2].0 - began >= play.setup.most);
+}
+
+#[test]
+fn a_member_that_moves_to_the_other_relay_counts_at_both() {
+    let mut play = play(Setup { rules: wait(), ..Setup::default() }, 10);
+    for turn in 0..6 {
+        // It loses its relay's letters for a moment, asks the other one, and a change comes in between.
+        let number = play.now();
+        play.places[turn % 2].cut = true;
+        runs(&mut play, 700 * MS);
+        play.places[turn % 2].cut = false;
+        play.propose(number, together(wait()), "next");
+        runs_until(&mut play, 5 * SECOND, |play| play.now() == number + 1 && play.settled());
+    }
+}
+
+#[test]
+fn thousands_below_relays_are_tens_at_the_keepers() {
+    let setup = Setup { zones: 17, regions: 8, members: 1_000, direct: 0, ..Setup::default() };
+    let mut play = play(setup, 11);
+    assert_eq!(play.counted(), 34);
+    play.world.weather.lost = 10;
+    play.propose(1, rules(), "second");
+    runs_until(&mut play, 14 * SECOND, |play| play.admitting(2) >= 990);
+}
+
+fn faults(setup: Setup, seed: u64, time: Time) -> Play {
+    let mut play = Play::new(setup, seed);
+    play.world.weather.lost = 12;
+    play.world.weather.doubled = 20;
+    play.world.weather.slow = 800 * MS;
+    play.run(2 * SECOND);
+    play.faults(time);
+    play
+}
+
+fn setup(seed: u64) -> Setup {
+    let missing = if seed % 2 == 0 { Missing::Fence } else { Missing::Wait };
+    // One relay for a zone in a third of the plays, where leases below last longest without another's.
+    let relays = if seed % 3 == 0 { 1 } else { 2 };
+    Setup { rules: Rules { missing, ..rules() }, relays, ..Setup::default() }
+}
+
+/// `RELAYS_SEEDS` plays more of them.
+#[test]
+fn faults_by_chance_break_no_rule_and_leave_nothing_undecided() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|many| many.parse::<u64>().ok());
+    let (many, from) = (number("RELAYS_SEEDS").unwrap_or(150), number("RELAYS_FROM").unwrap_or(0));
+    let (mut taken, mut dropped) = (0, 0);
+    for seed in from..from + many {
+        let mut play = faults(setup(seed), seed, 20 * SECOND);
+        let wrong = play.wrong.clone().or(play.world.wrong.clone());
+        assert_eq!(wrong, None, "seed {seed}");
+        play.peace();
+        let end = play.world.now + 25 * SECOND;
+        while play.world.now < end {
+            let until = play.world.now + 100 * MS;
+            play.run(until);
+            if play.settled() && play.proposed.keys().all(|number| play.decided.contains_key(number)) {
+                break;
+            }
+        }
+        let wrong = play.wrong.clone().or(play.world.wrong.clone());
+        assert_eq!(wrong, None, "seed {seed}, in peace");
+        let mays: Vec<May> = (play.first_member..play.places.len()).map(|at| play.may(at)).collect();
+        assert!(
+            play.settled(),
+            "seed {seed}: in peace all serve under one version, {}: {mays:?}",
+            play.now()
+        );
+        assert!(play.proposed.keys().all(|number| play.decided.contains_key(number)), "seed {seed}");
+        taken += play.decided.values().filter(|one| one.1).count();
+        dropped += play.decided.values().filter(|one| !one.1).count();
+    }
+    assert!(taken as u64 > many && dropped as u64 > many / 4, "{taken} taken, {dropped} dropped");
+}
+
+/// The first seed of a play that breaks a rule with this guard taken out, and the rule.
+fn found(broken: Broken) {
+    let first = (0..600).find_map(|seed| {
+        let play = faults(Setup { relay: broken, ..setup(seed) }, seed, 20 * SECOND);
+        play.wrong.or(play.world.wrong).map(|wrong| (seed, wrong))
+    });
+    let (seed, wrong) = first.expect("a play without that guard broke no rule");
+    println!("{broken:?}: seed {seed}: {wrong}");
+}
+
+#[test]
+fn a_yes_before_all_below_have_said_it_is_found() {
+    found(Broken { yes_alone: true, ..Broken::default() });
+}
+
+#[test]
+fn leases_longer_than_its_own_are_found() {
+    found(Broken { longer: true, ..Broken::default() });
+}
+
+#[test]
+fn leases_after_its_yes_to_those_that_have_not_said_it_are_found() {
+    found(Broken { to_all: true, ..Broken::default() });
+}
+
+#[test]
+fn stopping_in_the_name_of_others_is_found() {
+    found(Broken { stops_alone: true, ..Broken::default() });
+}
+
+#[test]
+fn a_new_life_that_speaks_at_once_is_found() {
+    found(Broken { no_wait: true, ..Broken::default() });
+}
--- a/rollout/src/member.rs
+++ b/rollout/src/member.rs
@@ -67,6 +67,8 @@
     check: u64,
     yes: Option<(u64, u32)>,
     paused: u64,
+    /// Where it speaks for others too: the last change for which all of them have stopped. None where it speaks for itself.
+    stopped: Option<u64>,
     leaves: bool,
     left: bool,
     left_by: u32,
@@ -102,6 +104,7 @@
             check: 0,
             yes: None,
             paused: 0,
+            stopped: None,
             leaves: false,
             left: false,
             left_by: 0,
@@ -125,9 +128,24 @@
         }
     }
 
+    /// It speaks for others too: that it admits nothing is not said before `stopped`.
+    pub fn for_others(&mut self) {
+        self.stopped = Some(0);
+    }
+
+    /// All for whom it speaks have stopped for this change.
+    pub fn stopped(&mut self, now: Time, change: u64) -> Vec<(Id, Ask)> {
+        self.stopped = Some(change);
+        self.soon(now)
+    }
+
     pub fn key(&self) -> Key {
         self.key
     }
+    /// What it was told last: the version in force, a change to check, and one for which it admits nothing; 0 for none.
+    pub fn told(&self) -> (u64, u64, u64) {
+        (self.wanted, self.check, self.paused)
+    }
     pub fn in_force(&self) -> Option<u64> {
         self.in_force
     }
@@ -193,14 +211,15 @@
             joins: self.joins,
             number: self.number,
             verdict,
-            paused: self.paused,
+            paused: if self.stopped.is_none_or(|all| all == self.paused) { self.paused } else { 0 },
             has: self.in_force.unwrap_or(0),
             seen: self.seen,
         };
         self.ask(ask)
     }
 
-    fn verdict(&self, number: u64) -> Option<Verdict> {
+    /// What was found of a text, where it is known.
+    pub fn verdict(&self, number: u64) -> Option<Verdict> {
         self.checked.iter().find(|(known, _)| *known == number).map(|(_, found)| found.clone())
     }
 
