--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod index;
 pub mod owners;
 pub mod pools;
+pub mod relays;
 pub mod rollout;
 pub mod tier;
 pub mod worker;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The lab's command line.
 
 use clap::{value_parser, Arg, Command};
-use cypresscleat_lab::{index, owners, pools, rollout, tier};
+use cypresscleat_lab::{index, owners, pools, relays, rollout, tier};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -44,6 +44,12 @@
                 .arg(number("seeds", "20"))
                 .arg(number("most", "10000").help("Members at the most")),
         )
+        .subcommand(
+            Command::new("relays")
+                .about("A change of policy through relays by zone, beside all members at the keepers, simulated")
+                .arg(number("seeds", "3"))
+                .arg(number("most", "5800").help("Members at the most")),
+        )
         .get_matches();
     let words = match words.subcommand() {
         Some(("pools", words)) => words,
@@ -56,6 +62,11 @@
             print!("{}", rollout::table(number("seeds"), number("most") as usize));
             return ExitCode::SUCCESS;
         }
+        Some(("relays", words)) => {
+            let number = |name: &str| words.get_one::<u64>(name).copied().unwrap_or(1);
+            relays::table(number("seeds"), number("most") as usize);
+            return ExitCode::SUCCESS;
+        }
         Some(("tier", words)) => {
             print!("{}", tier::table(words.get_one::<u64>("most").copied().unwrap_or(10) as usize));
             return ExitCode::SUCCESS;
--- a/relays/src/sim.rs
+++ b/relays/src/sim.rs
@@ -31,6 +31,8 @@
     /// A letter's way inside a region, and between two.
     pub near: Time,
     pub far: Time,
+    /// And between two keepers.
+    pub between: Time,
     /// The longest lease that a relay gives.
     pub most: Time,
     pub member: member::Broken,
@@ -51,6 +53,7 @@
             keep: 2 * MS,
             near: MS,
             far: 10 * MS,
+            between: 10 * MS,
             most: SECOND,
             member: member::Broken::default(),
             relay: relay::Broken::default(),
@@ -203,7 +206,7 @@
 impl Play {
     pub fn new(setup: Setup, seed: u64) -> Play {
         let mut world = World::new(setup.keepers, Policies::default(), Options::default(), seed);
-        world.weather.delay = if setup.regions > 1 { setup.far } else { setup.near };
+        world.weather.delay = setup.between;
         let mut play = Play {
             setup,
             world,
--- a/relays/tests/relays.rs
+++ b/relays/tests/relays.rs
@@ -228,9 +228,9 @@
 }
 
 fn setup(seed: u64) -> Setup {
-    let missing = if seed % 2 == 0 { Missing::Fence } else { Missing::Wait };
+    let missing = if seed.is_multiple_of(2) { Missing::Fence } else { Missing::Wait };
     // One relay for a zone in a third of the plays, where leases below last longest without another's.
-    let relays = if seed % 3 == 0 { 1 } else { 2 };
+    let relays = if seed.is_multiple_of(3) { 1 } else { 2 };
     Setup { rules: Rules { missing, ..rules() }, relays, ..Setup::default() }
 }
 
