Relays: those that lag are told again, and whoever tells is asked

A member now asks whoever told it of news, and a relay tells those that lag up to eight times. Older programs ask whom they asked before: there the old relay waits for the lease, as it did.

--- a/relays/src/relay.rs
+++ b/relays/src/relay.rs
@@ -41,6 +41,9 @@
 /// Lives that left and are remembered: as many as may leave while a letter is on its way.
 const LEFT: usize = 1_024;
 const LINES: usize = 256;
+/// Those that lag are told again so often, a part of the lease apart: the letter may be lost, or they ask another relay by now.
+const AGAIN: u32 = 8;
+const AGAIN_AFTER: Time = 8;
 /// A member is asked to come no more often than this part of the lease, so that a relay whose own lease is short is not asked by all.
 const OFTEN: Time = 16;
 
@@ -120,6 +123,9 @@
     /// Version, change and pause that members were told of last, and who is still to be told.
     told: (u64, u64, u64),
     to_tell: VecDeque<Key>,
+    /// Since when that stands, when those that lag are told again, and how often still.
+    since: Time,
+    again: (Time, u32),
     /// It gives no more leases; and has said so above, as the last is over.
     leaving: bool,
     gone: bool,
@@ -154,6 +160,8 @@
             stopped: 0,
             told: (0, 0, 0),
             to_tell: VecDeque::new(),
+            since: now,
+            again: (Time::MAX, 0),
             leaving: false,
             gone: false,
             full: false,
@@ -200,7 +208,7 @@
         let stops = self.pause != 0 && self.stopped != self.pause;
         let ends = if self.leaving && !self.gone { self.lease_ends() } else { Time::MAX };
         let own = waits(&self.without, asked).min(waits(&self.going, stops)).min(ends);
-        self.up.due().min(goes).min(own)
+        self.up.due().min(goes).min(own).min(self.again.0)
     }
 
     /// From when on it may speak for all below.
@@ -504,6 +512,14 @@
                 self.to_tell = self.below.keys().copied().collect();
             }
             self.told = stands;
+            (self.since, self.again) = (now, (now + self.again_after(), AGAIN));
+        }
+        if now >= self.again.0 {
+            self.to_tell.extend(self.lag(now));
+            let left = self.again.1 - 1;
+            let next =
+                if self.to_tell.is_empty() || left == 0 { Time::MAX } else { now + self.again_after() };
+            self.again = (next, left);
         }
         for key in self.to_tell.drain(..self.to_tell.len().min(PUSHED)) {
             if let Some(one) = self.below.get(&key) {
@@ -520,6 +536,20 @@
         out
     }
 
+    fn again_after(&self) -> Time {
+        (self.rules(self.up.in_force().unwrap_or(0)).lease / AGAIN_AFTER).max(8)
+    }
+
+    /// Members whose word is waited for, or that have not asked since something changed.
+    fn lag(&self, now: Time) -> Vec<Key> {
+        let lags = |one: &Below<A>| {
+            let asked = self.change != 0 && one.good != self.change;
+            let stops = self.pause != 0 && one.paused != self.pause;
+            one.until > now && (asked || stops || one.heard < self.since)
+        };
+        self.below.iter().filter(|(_, one)| lags(one)).map(|(key, _)| *key).collect()
+    }
+
     /// Its words upward for all below, where they can be said.
     fn speaks(&mut self, now: Time) -> Vec<(Id, Ask)> {
         let mut asks = Vec::new();
--- a/rollout/src/member.rs
+++ b/rollout/src/member.rs
@@ -353,7 +353,11 @@
                 self.left = number.wrapping_sub(self.left_by) < u32::MAX / 2;
                 Vec::new()
             }
-            Answer::News => self.soon(now),
+            Answer::News => {
+                // Whoever tells is asked: it may wait for this member's word, also where another was asked last.
+                self.heard(from);
+                self.soon(now)
+            }
             Answer::Elsewhere { leader } => {
                 let known = self.keepers.iter().position(|keeper| *keeper == leader && leader != from);
                 let Some(at) = known.filter(|_| self.led < 2) else { return Vec::new() };
