--- a/relays/src/relay.rs
+++ b/relays/src/relay.rs
@@ -21,8 +21,8 @@
 //!
 //! Its table is empty while members may hold leases of the former life. Under [`Missing::Fence`] that life is a member of its own at the
 //! keepers until its lease is over, and by then those of its members are: nothing has to be waited for. Under [`Missing::Wait`] the new
-//! life takes the former's place as soon as it joins: it says neither yes nor that all have stopped until the longest lease that a
-//! former life can have given (`most`) is over by its own clock. No version comes in force in between, as that needs its word. Leases
+//! life takes the former's place as soon as it joins: it says neither yes nor that all have stopped, nor does it leave, until the longest
+//! lease that a former life can have given (`most`) is over by its own clock; nor where it doesn't know yet by which rule it joined. No version comes in force in between, as that needs its word. Leases
 //! it may give at once in both cases: they are in its table.
 
 use cypresscleat_rollout::member::{Event, May, Member};
@@ -98,6 +98,8 @@
 pub struct Relay<A> {
     up: Member,
     started: Time,
+    /// It knows what is in force, and so by which rule it joined.
+    heard: bool,
     most: Time,
     looked: Time,
     below: BTreeMap<Key, Below<A>>,
@@ -142,6 +144,7 @@
         Relay {
             up,
             started: now,
+            heard: false,
             most: most.max(1),
             looked: now,
             below: BTreeMap::new(),
@@ -214,7 +217,7 @@
     /// From when on it may speak for all below.
     fn ready_at(&self) -> Time {
         let (wanted, ..) = self.up.told();
-        let known = wanted == 0 || self.texts.contains_key(&wanted);
+        let known = self.heard && (wanted == 0 || self.texts.contains_key(&wanted));
         let fence = known && self.rules(wanted).missing == Missing::Fence;
         if fence || self.broken.no_wait {
             self.started
@@ -227,9 +230,10 @@
         self.texts.get(&number).map_or(Rules::default(), |version| version.rules)
     }
 
-    /// When the last lease is over; now where there is none.
+    /// When the last lease below is over, those of a former life too; now where there is none.
     fn lease_ends(&self) -> Time {
-        self.below.values().map(|one| one.until).max().unwrap_or(self.looked).max(self.looked)
+        let last = self.below.values().map(|one| one.until).max().unwrap_or(Time::MIN);
+        last.max(self.ready_at()).max(self.looked)
     }
 
     fn says(&mut self, line: String) {
@@ -255,6 +259,7 @@
         if over {
             self.yes = None;
         }
+        self.heard |= matches!(&answer, Answer::Held { key, .. } if *key == self.up.key());
         let asks = self.up.hear(now, from, answer);
         self.settles(now, asks, Out::default())
     }
--- a/relays/tests/relays.rs
+++ b/relays/tests/relays.rs
@@ -170,17 +170,28 @@
     }
 }
 
-/// Under `wait` a new life takes the former's place at the keepers at once, and knows nothing of the leases that are out.
+/// Under `wait` a new life takes the former's place at the keepers at once, and knows nothing of the leases that are out: it neither
+/// speaks for those that hold them nor leaves. The second was found by play 2929.
 #[test]
 fn a_new_life_speaks_for_its_members_only_once_the_former_leases_are_over() {
-    let mut play = play(Setup { relays: 1, rules: wait(), ..Setup::default() }, 9);
-    let member = play.first_member;
-    play.places[member].cut = true;
-    play.start(0);
-    let began = play.world.now;
-    play.propose(1, together(wait()), "second");
-    runs_until(&mut play, 5 * SECOND, |play| play.now() == 2);
-    assert!(play.decided[&2].0 - began >= play.setup.most);
+    for (seed, heard, leaves) in [(9, true, false), (10, true, true), (11, false, true)] {
+        let mut play = play(Setup { relays: 1, rules: wait(), ..Setup::default() }, seed);
+        let member = play.first_member;
+        play.places[member].cut = true;
+        play.start(0);
+        let began = play.world.now;
+        // Its first asking has got through; the answer, where it is not to hear it, does not.
+        runs(&mut play, if heard { 100 * MS } else { 3 * MS });
+        play.places[0].cut = !heard;
+        if leaves {
+            play.drain(0);
+        }
+        runs(&mut play, 100 * MS);
+        play.places[0].cut = false;
+        play.propose(1, together(wait()), "second");
+        runs_until(&mut play, 5 * SECOND, |play| play.now() == 2);
+        assert!(play.decided[&2].0 - began >= play.setup.most);
+    }
 }
 
 #[test]
