--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The lab's command line.
 
 use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
-use cypresscleat_lab::{index, owners, pools, rollout, scale, tier};
+use cypresscleat_lab::{index, owners, pools, relays, rollout, scale, tier};
 use indicatif::{ProgressBar, ProgressStyle};
 use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
 use std::alloc::System;
@@ -113,6 +113,12 @@
                         .help("Print the tables of docs/CAPACITY.md; the default without --json"),
                 ),
         )
+        .subcommand(
+            Command::new("relays")
+                .about("A change of policy through relays by zone, beside all members at the keepers, simulated")
+                .arg(number("seeds", "3"))
+                .arg(number("most", "5800").help("Members at the most")),
+        )
         .get_matches();
     let words = match words.subcommand() {
         Some(("pools", words)) => words,
@@ -132,6 +138,11 @@
             }
             return ExitCode::SUCCESS;
         }
+        Some(("relays", words)) => {
+            let number = |name: &str| words.get_one::<u64>(name).copied().unwrap_or(1);
+            relays::table(number("seeds"), number("most") as usize);
+            return ExitCode::SUCCESS;
+        }
         Some(("tier", words)) => {
             print!("{}", tier::table(words.get_one::<u64>("most").copied().unwrap_or(10) as usize));
             return ExitCode::SUCCESS;
