--- a/lab/src/scale/hollow/keeper.rs
+++ b/lab/src/scale/hollow/keeper.rs
@@ -1,9 +1,9 @@
 //! A keeper that leads, before hollow members of a rollout and before hollow owners: at rest, in a change, and where it is killed in the
 //! middle of one.
 
-use super::members::{Count, Crowd, What};
+use super::members::{Crowd, What};
 use super::rig::{Limits, Program, Quorum, Spent};
-use super::HEADERS;
+use super::{told, Count, HEADERS};
 use crate::scale::row::{How, Row};
 use hdrhistogram::Histogram;
 use std::net::SocketAddr;
@@ -48,13 +48,6 @@
     Ok(rows)
 }
 
-/// What could not be measured is told; other sizes go on.
-fn told(done: Result<(), String>, what: &str, tell: &mut dyn FnMut(&str)) {
-    if let Err(error) = done {
-        tell(&format!("hollow: NOT MEASURED in full: {what}: {error}"));
-    }
-}
-
 /// Waits until `done`, or for so long; what it took, if it came.
 fn wait(within: Duration, mut done: impl FnMut() -> bool) -> Option<Duration> {
     let began = Instant::now();
--- /dev/null
+++ b/lab/src/scale/hollow/load.rs
@@ -0,0 +1,338 @@
+//! Real processes under callers: what a forwarder adds to an invocation at a load held open-loop, and what idle callers and control
+//! cost an app server. Behind each worker stands a kernel that answers at once.
+
+use super::rig::{Limits, Program, Quorum, Spent};
+use super::{guarded, told, CONFIG};
+use crate::scale::row::{How, Row};
+use cypresscleat_examples::{frame, unix_ms, Kernel, Place, Router};
+use hdrhistogram::Histogram;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// Invocations a second. They are the sizes here: those that are asked for count members.
+pub const RATES: [u64; 4] = [500, 1_000, 2_000, 4_000];
+const SPAN: Duration = Duration::from_secs(4);
+/// Answers are waited for so long after the last invocation.
+const LAST: Duration = Duration::from_secs(2);
+const REST: Duration = Duration::from_secs(5);
+/// Connections that carry the load.
+const CALLERS: usize = 8;
+const BODY: [u8; 200] = [b'x'; 200];
+/// Longest time that is told apart, in microseconds.
+const MICROS: u64 = 60_000_000;
+/// Bytes of memory that are reckoned for a caller's connection, both ends.
+const EACH: u64 = 64 * 1024;
+
+/// A worker, with a kernel that answers at once.
+fn worker(program: &Program, name: &str, operator: &str, sockets: u64) -> Place {
+    let place = Place::start_with(&program.path, CONFIG, operator, |all| {
+        all["name"] = json!(name);
+        all["limits"]["sockets"] = json!(sockets);
+        all["settings"]["customers"] = json!([]);
+        all["settings"]["specifics"]["cores"] = json!(16);
+        all["settings"]["specifics"]["memory_kb"] = json!(4e6);
+        all["settings"]["specifics"]["class_calls"] = json!([false, false]);
+    });
+    let listener = place.kernel.try_clone().expect("a listener");
+    spawn(move || {
+        let Some(mut kernel) = Kernel::try_accept(&listener, "WARM") else { return };
+        while let Some((msg, call, _)) = kernel.hear() {
+            if msg == "SCHED" && !kernel.try_tell("REAP", &call, "OK", &BODY) {
+                return;
+            }
+        }
+    });
+    place.logged("kernel up");
+    place
+}
+
+/// An invocation of little work, so that none is turned away for what it was said to take.
+fn invocation(stream: u32, txn: &str) -> Vec<u8> {
+    let door = unix_ms().to_string();
+    let fields = [
+        ("verb", "lookup"),
+        ("txn", txn),
+        ("door", &door),
+        ("lb", "1"),
+        ("team", "acme"),
+        ("cpu", "0.5"),
+        ("ram", "0.1"),
+        ("standing", "0.5"),
+    ];
+    let mut payload = vec![fields.len() as u8];
+    for (name, value) in fields {
+        payload.push(name.len() as u8);
+        payload.extend(name.as_bytes());
+        payload.extend((value.len() as u16).to_be_bytes());
+        payload.extend(value.as_bytes());
+    }
+    payload.extend(BODY);
+    frame(2, stream, &payload)
+}
+
+/// What callers found.
+struct Found {
+    /// Microseconds from when each should have been sent, of those that succeeded.
+    took: Histogram<u64>,
+    /// How late each was sent.
+    late: Histogram<u64>,
+    sent: u64,
+    succeeded: u64,
+    turned_away: u64,
+}
+
+/// Reads frames until the connection ends; answers by stream.
+fn reads(
+    mut stream: TcpStream,
+    due: impl Fn(u32) -> Instant,
+    took: &Mutex<Histogram<u64>>,
+    ended: &[AtomicU64; 2],
+) {
+    let (mut bytes, mut part) = (Vec::new(), vec![0; 64 * 1024]);
+    while let Ok(many @ 1..) = stream.read(&mut part) {
+        let now = Instant::now();
+        bytes.extend(&part[..many]);
+        let mut at = 0;
+        while let Some(head) = bytes.get(at..at + 10) {
+            let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize + 4;
+            if bytes.len() < at + length {
+                break;
+            }
+            if head[4] == 4 {
+                let number = u32::from_be_bytes([head[5], head[6], head[7], head[8]]);
+                let good = head[9] == b'O';
+                ended[usize::from(!good)].fetch_add(1, Ordering::Relaxed);
+                if good {
+                    let micros = now.saturating_duration_since(due(number)).as_micros() as u64;
+                    took.lock().expect("the times").saturating_record(micros);
+                }
+            }
+            at += length;
+        }
+        bytes.drain(..at);
+    }
+}
+
+/// So many a second, sent at set times whatever became of those before.
+fn load(to: SocketAddr, rate: u64, span: Duration, name: u64) -> Result<Found, String> {
+    let wrong = |error: std::io::Error| error.to_string();
+    let new = || Histogram::new_with_max(MICROS, 3).map_err(|error| error.to_string());
+    let took = Arc::new(Mutex::new(new()?));
+    let ended: Arc<[AtomicU64; 2]> = Arc::default();
+    let gap = Duration::from_secs(1) / rate as u32;
+    let many = (span.as_secs_f64() * rate as f64) as u32;
+    let began = Instant::now() + Duration::from_millis(50);
+    // Streams of all connections are of one count, so that each names its time.
+    let due = move |stream: u32| began + gap * stream;
+    let (mut wires, mut readers) = (Vec::new(), Vec::new());
+    for _ in 0..CALLERS {
+        let stream = TcpStream::connect(to).map_err(wrong)?;
+        stream.set_nodelay(true).map_err(wrong)?;
+        let (back, took, ended) = (stream.try_clone().map_err(wrong)?, took.clone(), ended.clone());
+        readers.push(spawn(move || reads(back, due, &took, &ended)));
+        wires.push(stream);
+    }
+    let mut late = new()?;
+    for stream in 1..=many {
+        sleep(due(stream).saturating_duration_since(Instant::now()));
+        let txn = format!("{name:08x}{stream:08x}");
+        let bytes = invocation(stream, &txn);
+        late.saturating_record(due(stream).elapsed().as_micros() as u64);
+        wires[stream as usize % CALLERS].write_all(&bytes).map_err(wrong)?;
+    }
+    let count = |at: usize| ended[at].load(Ordering::Relaxed);
+    let last = Instant::now();
+    while count(0) + count(1) < u64::from(many) && last.elapsed() < LAST {
+        sleep(Duration::from_millis(5));
+    }
+    for wire in &wires {
+        let _ = wire.shutdown(std::net::Shutdown::Both);
+    }
+    readers.into_iter().for_each(|reader| drop(reader.join()));
+    let took = took.lock().expect("the times").clone();
+    Ok(Found { took, late, sent: many.into(), succeeded: count(0), turned_away: count(1) })
+}
+
+/// A worker asked directly, and the same through a forwarder.
+pub fn forwarder(
+    program: &Program,
+    _: &Limits,
+    _: &[u64],
+    tell: &mut dyn FnMut(&str),
+) -> Result<Vec<Row>, String> {
+    let mut rows = Vec::new();
+    let done = guarded(|| forwards(program, &RATES, SPAN, &mut rows, tell));
+    told(done, "a forwarder under load", tell);
+    Ok(rows)
+}
+
+pub fn forwards(
+    program: &Program,
+    rates: &[u64],
+    span: Duration,
+    rows: &mut Vec<Row>,
+    tell: &mut dyn FnMut(&str),
+) -> Result<(), String> {
+    let worker = worker(program, "w", "", 1024);
+    let operator = format!(
+        "tier: {{listen: \"127.0.0.1:0\", planners: [], workers: [{{name: \"w\", address: \"{}\", places: 64}}]}}",
+        worker.server
+    );
+    let place = Place::start_as(&program.path, "forward", CONFIG, &operator, |all| {
+        all["name"] = json!("f");
+        all["settings"]["customers"] = json!([]);
+        all["settings"]["specifics"]["memory_kb"] = json!(4e6);
+    });
+    place.logged("takes work");
+    let mut count = unix_ms() as u64 & 0xffff;
+    for rate in rates.iter().copied() {
+        let mut run = |to: SocketAddr| {
+            count += 1;
+            load(to, rate, span, count)
+        };
+        let direct = run(worker.server)?;
+        let spent = Spent::of(place.id());
+        let through = run(place.server)?;
+        let now = Spent::of(place.id());
+        let mut put = |what: &str, value: f64, unit: &str| {
+            rows.push(Row::new(
+                "forwarder",
+                rate,
+                &format!("{what} by invocations a second"),
+                value,
+                unit,
+                How::Real,
+            ));
+        };
+        let ms = |found: &Found, part: f64| found.took.value_at_quantile(part) as f64 / 1e3;
+        for (name, part) in [("p50", 0.5), ("p99", 0.99), ("most", 1.0)] {
+            let (direct, through) = (ms(&direct, part), ms(&through, part));
+            put(&format!("latency {name} direct to a worker"), direct, "ms");
+            put(&format!("latency {name} through a forwarder"), through, "ms");
+            put(&format!("latency {name} through less direct"), through - direct, "ms");
+        }
+        for (name, found) in [("direct", &direct), ("through a forwarder", &through)] {
+            let late = found.late.value_at_quantile(0.99) as f64 / 1e3;
+            put(&format!("generator's lateness p99, {name}"), late, "ms");
+            put(
+                &format!("share that succeeded, {name}"),
+                found.succeeded as f64 / found.sent as f64,
+                "share",
+            );
+            put(&format!("share turned away, {name}"), found.turned_away as f64 / found.sent as f64, "share");
+        }
+        let each = now.seconds_since(&spent) * 1e6 / through.sent.max(1) as f64;
+        put("processor time of the forwarder an invocation", each, "us");
+        put("descriptors of the forwarder", now.descriptors as f64, "descriptors");
+        put("memory of the forwarder", now.resident as f64, "B");
+        tell(&format!(
+            "hollow: forwarder at {rate}/s: p50 {:.2} and p99 {:.2} ms, direct {:.2} and {:.2} ms; {} of {} succeeded",
+            ms(&through, 0.5),
+            ms(&through, 0.99),
+            ms(&direct, 0.5),
+            ms(&direct, 0.99),
+            through.succeeded,
+            through.sent
+        ));
+    }
+    Ok(())
+}
+
+/// An app server with idle callers, and with rollout and keepers on and off.
+pub fn app_server(
+    program: &Program,
+    limits: &Limits,
+    sizes: &[u64],
+    tell: &mut dyn FnMut(&str),
+) -> Result<Vec<Row>, String> {
+    let mut rows = Vec::new();
+    let done = guarded(|| control(program, 2 * REST, &mut rows, tell));
+    told(done, "an app server's share for control", tell);
+    for size in sizes.iter().copied() {
+        // Descriptors of the app server's own beside the callers'; it holds idle callers in a part of its room.
+        if !limits.allow(size, 3, EACH) {
+            tell(&format!("hollow: {size} idle callers are left out: past {limits}"));
+            continue;
+        }
+        let done = guarded(|| callers(program, size, &mut rows, tell));
+        told(done, &format!("{size} idle callers"), tell);
+    }
+    Ok(rows)
+}
+
+fn control(
+    program: &Program,
+    rest: Duration,
+    rows: &mut Vec<Row>,
+    tell: &mut dyn FnMut(&str),
+) -> Result<(), String> {
+    for (name, on) in [("off", false), ("on", true)] {
+        let quorum = if on { Some(Quorum::start(program)?) } else { None };
+        let operator = quorum.as_ref().map_or(String::new(), |quorum| {
+            let folder = quorum.folder.0.join("policy");
+            format!("keepers: {{{}}}\nrollout: {{folder: \"{}\"}}\n", quorum.listed(), folder.display())
+        });
+        let place = worker(program, "control", &operator, 1024);
+        if on {
+            place.logged("is in force here");
+        }
+        sleep(Duration::from_secs(2));
+        let (began, spent) = (Instant::now(), Spent::of(place.id()));
+        sleep(rest);
+        let (span, now) = (began.elapsed().as_secs_f64(), Spent::of(place.id()));
+        let cores = now.seconds_since(&spent) / span;
+        let mut put = |what: &str, value: f64, unit: &str| {
+            let metric = format!("{what} at rest without callers, rollout {name}, by app servers");
+            rows.push(Row::new("app-server", 1, &metric, value, unit, How::Real));
+        };
+        put("cores", cores, "cores");
+        put("memory", now.resident as f64, "B");
+        put("descriptors", now.descriptors as f64, "descriptors");
+        tell(&format!("hollow: app server at rest, rollout {name}: {cores:.4} cores"));
+    }
+    Ok(())
+}
+
+/// Callers that asked once and then hold their connections.
+fn callers(
+    program: &Program,
+    size: u64,
+    rows: &mut Vec<Row>,
+    tell: &mut dyn FnMut(&str),
+) -> Result<(), String> {
+    let place = worker(program, "callers", "", (size * 3).max(1024));
+    // Its own connections, to the parties beside it, stand first.
+    sleep(Duration::from_secs(1));
+    let before = Spent::of(place.id());
+    let mut held = Vec::new();
+    for at in 0..size {
+        let mut router = Router::connect(place.server);
+        router.0.send(invocation(1, &format!("{at:016x}")));
+        let (_, how, _) = router.answer();
+        if how != "succeeded" {
+            return Err(format!("caller {at} was {how}"));
+        }
+        held.push(router);
+    }
+    sleep(Duration::from_secs(1));
+    let (began, spent) = (Instant::now(), Spent::of(place.id()));
+    sleep(REST);
+    let (span, now) = (began.elapsed().as_secs_f64(), Spent::of(place.id()));
+    let cores = now.seconds_since(&spent) / span;
+    let mut put = |what: &str, value: f64, unit: &str| {
+        rows.push(Row::new("app-server", size, &format!("{what} by idle callers"), value, unit, How::Real));
+    };
+    put("cores", cores, "cores");
+    put("memory", now.resident as f64, "B");
+    put("memory more than without callers", now.resident.saturating_sub(before.resident) as f64, "B");
+    put("descriptors", now.descriptors as f64, "descriptors");
+    let open = now.descriptors.saturating_sub(before.descriptors);
+    put("connections held", open as f64, "connections");
+    tell(&format!("hollow: app server with {size} idle callers: {open} held, {} KB", now.resident >> 10));
+    Ok(())
+}
--- a/lab/src/scale/hollow/members.rs
+++ b/lab/src/scale/hollow/members.rs
@@ -1,7 +1,7 @@
 //! Hollow members of a rollout and hollow owners: each a real decider and a socket of its own, many on each thread. A text that comes is
 //! held for good at once: it is neither read nor kept.
 
-use super::HEADERS;
+use super::{Count, Flow, HEADERS};
 use cypresscleat_owners::holder::Holder;
 use cypresscleat_owners::{id, Id, Want};
 use cypresscleat_quorum::letter;
@@ -28,33 +28,10 @@
 /// Slots that are kept: ten minutes.
 const SLOTS: usize = 30_000;
 
-/// What went out of the hollow instances and came in, seen from them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Count {
-    pub messages_out: u64,
-    pub bytes_out: u64,
-    pub messages_in: u64,
-    pub bytes_in: u64,
-}
-
-impl Count {
-    pub fn since(&self, before: &Count) -> Count {
-        Count {
-            messages_out: self.messages_out - before.messages_out,
-            bytes_out: self.bytes_out - before.bytes_out,
-            messages_in: self.messages_in - before.messages_in,
-            bytes_in: self.bytes_in - before.bytes_in,
-        }
-    }
-}
-
 /// One keeper, as the hollow instances see it.
 #[derive(Default)]
 struct Seen {
-    messages_out: AtomicU64,
-    bytes_out: AtomicU64,
-    messages_in: AtomicU64,
-    bytes_in: AtomicU64,
+    flow: Flow,
     /// With headers, both ways, by slot.
     slots: Mutex<Vec<u64>>,
 }
@@ -89,12 +66,7 @@
 
     fn notes(&self, keeper: SocketAddr, size: usize, goes_out: bool) {
         let Some(seen) = self.seen.get(&keeper) else { return };
-        let (messages, bytes) = match goes_out {
-            true => (&seen.messages_out, &seen.bytes_out),
-            false => (&seen.messages_in, &seen.bytes_in),
-        };
-        messages.fetch_add(1, Ordering::Relaxed);
-        bytes.fetch_add(size as u64, Ordering::Relaxed);
+        seen.flow.notes(size, goes_out);
         let slot = (self.began.elapsed().as_nanos() / SLOT.as_nanos()) as usize;
         let mut slots = seen.slots.lock().expect("the slots");
         if slot < SLOTS {
@@ -107,14 +79,8 @@
 
     /// With all keepers, or with one of them.
     pub fn count(&self, keeper: Option<SocketAddr>) -> Count {
-        let mut all = Count::default();
-        for (_, seen) in self.seen.iter().filter(|(address, _)| keeper.is_none_or(|one| one == **address)) {
-            all.messages_out += seen.messages_out.load(Ordering::Relaxed);
-            all.bytes_out += seen.bytes_out.load(Ordering::Relaxed);
-            all.messages_in += seen.messages_in.load(Ordering::Relaxed);
-            all.bytes_in += seen.bytes_in.load(Ordering::Relaxed);
-        }
-        all
+        let asked = self.seen.iter().filter(|(address, _)| keeper.is_none_or(|one| one == **address));
+        asked.fold(Count::default(), |all, (_, seen)| all.and(&seen.flow.count()))
     }
 
     /// The most bytes in any one second since then, at one keeper, both ways, with headers.
