Rollout: texts on the disk stand in a file of their own

A relay will keep versions as a member does. Their files move as they are from member.rs to texts.rs; the loop that reads an earlier life's becomes load.

--- a/server/src/rolling/member.rs
+++ b/server/src/rolling/member.rs
@@ -1,6 +1,7 @@
 //! The member's task: its socket, its texts on the disk, what is to be done when a version comes in force.
 
 use super::gate::Gate;
+use super::texts::{keep, load, put, KEPT};
 use super::{check, Policy, Rollout};
 use crate::core::Note;
 use crate::log;
@@ -12,17 +13,13 @@
 use cypresscleat_rollout::{cut, id, Id, Time, Version, WHY};
 use cypresscleat_settings::Names;
 use std::collections::{BTreeMap, HashMap};
-use std::io::{self, Write};
+use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Sender;
 use tokio::time::sleep_until;
 
-/// Versions kept on the disk.
-const KEPT: usize = 4;
-
 /// `CLEAT_TEST_DIES=STEP`, for tests only: the process ends there, at once, in its first change.
 fn dies(step: &str) {
     if std::env::var("CLEAT_TEST_DIES").is_ok_and(|at| at == step) {
@@ -49,41 +46,6 @@
     last: Option<u64>,
 }
 
-fn path(folder: &Path, number: u64) -> PathBuf {
-    folder.join(format!("{number:012}.json"))
-}
-
-/// The whole of a file under its name, or nothing of it, whatever happens in between.
-fn put(folder: &Path, path: &Path, text: &[u8]) -> io::Result<()> {
-    std::fs::create_dir_all(folder)?;
-    let new = path.with_extension("new");
-    let mut file = std::fs::File::create(&new)?;
-    file.write_all(text)?;
-    file.sync_all()?;
-    std::fs::rename(&new, path)?;
-    std::fs::File::open(folder)?.sync_all()
-}
-
-/// Keeps a version on the disk, before anybody is told so.
-fn keep(folder: &Path, version: &Version) -> io::Result<()> {
-    let text = serde_json::to_vec(version).map_err(io::Error::other)?;
-    put(folder, &path(folder, version.number), &text)?;
-    for old in kept(folder).into_iter().rev().skip(KEPT) {
-        let _ = std::fs::remove_file(path(folder, old));
-    }
-    Ok(())
-}
-
-/// Numbers of the versions that are kept, in their order.
-fn kept(folder: &Path) -> Vec<u64> {
-    let entries = std::fs::read_dir(folder).into_iter().flatten().flatten();
-    let number =
-        |entry: std::fs::DirEntry| entry.file_name().to_str()?.strip_suffix(".json")?.parse::<u64>().ok();
-    let mut all: Vec<u64> = entries.filter_map(number).collect();
-    all.sort_unstable();
-    all
-}
-
 impl Task {
     pub async fn new(
         name: &str,
@@ -121,12 +83,10 @@
         self.gate.clone()
     }
 
-    /// What an earlier life kept; a file that can't be read, or is not what it was, counts as none.
+    /// What an earlier life kept.
     fn loads(&mut self) {
-        for number in kept(&self.set.folder) {
-            let read = std::fs::read(path(&self.set.folder, number)).ok();
-            let version = read.and_then(|bytes| serde_json::from_slice::<Version>(&bytes).ok());
-            let Some(version) = version.filter(|version| version.number == number) else { continue };
+        for version in load(&self.set.folder) {
+            let number = version.number;
             match check(&version, self.set.room, self.names.as_deref()) {
                 Ok(policy) => {
                     self.policies.insert(number, policy);
--- a/server/src/rolling/mod.rs
+++ b/server/src/rolling/mod.rs
@@ -5,6 +5,7 @@
 pub mod ask;
 pub mod gate;
 pub mod member;
+pub mod texts;
 
 use crate::operator::{self, Wrong};
 use cypresscleat::api::Time;
