Server: the role relay, and members that ask their zone's relays

The subcommand relay carries the decider of crate relays: a socket below and one above, texts on the disk by a thread of its own, SIGTERM and SIGUSR1. rollout.relays names whom a member asks in place of the keepers; relay and rollout.relays are checked as the other keys are.

--- a/server/src/args.rs
+++ b/server/src/args.rs
@@ -29,6 +29,11 @@
         operator: PathBuf,
         words: Words,
     },
+    /// Stand between the keepers and a zone's members, under this name.
+    Relay {
+        operator: PathBuf,
+        name: String,
+    },
     /// Duties with one owner at a time, for the instance of this name.
     Owning {
         operator: PathBuf,
@@ -79,6 +84,11 @@
                 .about("Keep who owns which duty, with the other keepers; keepers in the operator's file")
                 .args([operator.clone().required(true), name.clone()]),
         )
+        .subcommand(
+            Command::new("relay")
+                .about("Stand between the keepers and the members of a zone; keepers and relay in the operator's file")
+                .args([operator.clone().required(true), name.clone()]),
+        )
         .subcommand(
             Command::new("tally")
                 .about("Own parts of the tally, and act on its ledger; keepers and tally in the operator's file")
@@ -164,6 +174,10 @@
             };
             Task::Policy { operator: operator(own).unwrap_or_default(), words }
         }
+        Some(("relay", own)) => Task::Relay {
+            operator: operator(own).unwrap_or_default(),
+            name: own.get_one::<String>("name").cloned().unwrap_or_default(),
+        },
         Some(("forward", own)) => Task::Forward { operator: operator(own).unwrap_or_default() },
         Some(("plan", own)) => Task::Plan { operator: operator(own).unwrap_or_default() },
         Some((job @ ("keep" | "tally" | "settle" | "sums" | "owners"), own)) => {
--- a/server/src/counters.rs
+++ b/server/src/counters.rs
@@ -3,13 +3,13 @@
 use std::cell::Cell;
 
 macro_rules! counters {
-    ($($name:ident: $meaning:literal),* $(,)?) => {
+    ($all:ident; $($name:ident: $meaning:literal),* $(,)?) => {
         #[derive(Default)]
-        pub struct Counters {
-            $(#[doc = $meaning] pub $name: Cell<u64>,)*
+        pub struct $all {
+            $(#[doc = $meaning] pub $name: std::cell::Cell<u64>,)*
         }
 
-        impl Counters {
+        impl $all {
             pub fn line(&self) -> String {
                 let pairs = [$((stringify!($name), self.$name.get())),*];
                 let pairs: Vec<String> = pairs.iter().map(|(name, value)| format!("{name} {value}")).collect();
@@ -19,7 +19,9 @@
     };
 }
 
-counters! {
+pub(crate) use counters;
+
+counters! { Counters;
     connections: "connections accepted",
     accept_errors: "connections that could not be accepted, as for want of descriptors",
     idle_closed: "closed for idling, at the module's word or to make room",
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod pool;
 pub mod ready;
 pub mod recovery;
+pub mod relaying;
 pub mod rolling;
 pub mod roster;
 pub mod sockets;
--- a/server/src/main.rs
+++ b/server/src/main.rs
@@ -19,7 +19,7 @@
 use cypresscleat_server::operator::{self, Operator};
 use cypresscleat_server::ready::Ready;
 use cypresscleat_server::rolling::{self, member, Policy};
-use cypresscleat_server::{kernel, log, owning, plan, pool, recovery, roster};
+use cypresscleat_server::{kernel, log, owning, plan, pool, recovery, relaying, roster};
 use cypresscleat_settings::Names;
 use cypresscleat_tier::messages::Role;
 use cypresscleat_tier::retry;
@@ -67,6 +67,7 @@
         Task::Check { operator, show } => return check(&operator, show),
         Task::Policy { operator, words } => return rolling::ask::start(&operator, &words),
         Task::Owning { operator, name, job } => return owning::start(&operator, &name, &job),
+        Task::Relay { operator, name } => return relaying::start(&operator, &name),
         Task::Serve { operator } => (operator, Role::Worker),
         Task::Forward { operator } => (Some(operator), Role::Forwarder),
         Task::Plan { operator } => (Some(operator), Role::Planner),
@@ -298,13 +299,13 @@
     let mut settings = Settings { pools: operator.pools.clone(), ..config.settings };
     // Set once the fleet is there: a policy says how many further tries may be.
     let retries: Rc<RefCell<Option<Rc<Fleet>>>> = Rc::default();
-    let gate = match (&operator.rollout, &operator.keepers) {
-        (Some(set), Some(keepers)) => {
+    let above = operator.rollout.as_ref().and_then(|set| set.above(operator.keepers.as_ref()));
+    let gate = match (&operator.rollout, above) {
+        (Some(set), Some(above)) => {
             let apply =
                 applies(door.clone(), retries.clone(), operator.scgi.as_ref().map(|scgi| scgi.patience));
             let queue = Some(queue.clone());
-            let task =
-                member::Task::new(&config.name, keepers, set, Some(names.clone()), queue, apply).await?;
+            let task = member::Task::new(&config.name, above, set, Some(names.clone()), queue, apply).await?;
             let gate = task.gate();
             spawn_local(task.run());
             Some(gate)
--- a/server/src/operator.cue
+++ b/server/src/operator.cue
@@ -134,10 +134,22 @@
     alone?: duration & >=1s & <=1h
     // Longest text that it takes.
     room:   *16KiB | (size & >=256B & <=16KiB)
+    // Its zone's relays; where there are any it asks them in place of the keepers.
+    relays: *[] | [...#Peer]
+}
+
+#Relay: {
+    // Where members of the zone find it, by datagrams.
+    listen: address
+    // Where it keeps versions of the policy, and hands them out from. One that lasts.
+    folder: string & !=""
+    // Longest lease that it gives; never past its own.
+    most:   *2s | (duration & >=200ms & <=60s)
 }
 
 #Root: {
     rollout?: #Rollout
+    relay?: #Relay
     sums?:  #Sums
     keepers?: #Keepers
     settle?: #Settle
--- a/server/src/operator.rs
+++ b/server/src/operator.rs
@@ -9,6 +9,7 @@
 use crate::owning::tally::Tally;
 use crate::owning::Keepers;
 use crate::recovery::Durability;
+use crate::relaying::Relay;
 use crate::rolling::{Policy, Rollout};
 use cypresscleat::api::Time;
 use cypresscleat_pools::limit::Limiter;
@@ -24,6 +25,8 @@
 use std::time::Duration;
 
 const SCHEMA: &str = include_str!("operator.cue");
+/// Relays that one member asks, at the most.
+const RELAYS: usize = 8;
 
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
@@ -38,6 +41,7 @@
     pub settle: Option<Settle>,
     pub sums: Option<Sums>,
     pub rollout: Option<Rollout>,
+    pub relay: Option<Relay>,
 }
 
 /// The store, as configured.
@@ -99,11 +103,8 @@
         keepers: root.find("keepers").and_then(|node| reader.keepers(node)),
         tally: root.find("tally").and_then(|node| reader.tally(node)),
         settle: root.find("settle").and_then(|node| reader.settle(node)),
-        rollout: root.find("rollout").map(|node| Rollout {
-            folder: node.get("folder").text().into(),
-            alone: node.find("alone").map(|alone| time(alone.duration())),
-            room: node.get("room").size() as usize,
-        }),
+        rollout: root.find("rollout").map(|node| reader.rollout(node)),
+        relay: root.find("relay").and_then(|node| reader.relay(node)),
         sums: root.find("sums").and_then(|node| reader.sums(node)),
         store: root.find("store").map(|node| Kept {
             folder: node.get("folder").text().into(),
@@ -119,8 +120,11 @@
         }),
         pools: root.find("pools").map_or_else(Setup::default, |node| reader.pools(node)),
     };
-    if let (Some(node), None) = (root.find("rollout"), &operator.keepers) {
-        reader.fault(node, "rollout", "it needs keepers".into());
+    let direct = operator.rollout.as_ref().is_some_and(|rollout| rollout.relays.is_empty());
+    for (key, asks) in [("rollout", direct), ("relay", operator.relay.is_some())] {
+        if let (Some(node), None, true) = (root.find(key), &operator.keepers, asks) {
+            reader.fault(node, key, "it needs keepers".into());
+        }
     }
     if reader.faults.is_empty() {
         Ok((operator, root))
@@ -265,15 +269,44 @@
         Some(Tier { listen: node.get("listen").address()?, planners, workers })
     }
 
-    fn keepers(&mut self, node: &Node) -> Option<Keepers> {
+    /// A list of peers; no name and no address stands in it twice.
+    fn peers(&mut self, node: &Node, path: &str) -> Vec<(String, SocketAddr)> {
         let mut all: Vec<(String, SocketAddr)> = Vec::new();
-        for keeper in node.get("all").list() {
-            let (name, address) = (keeper.get("name").text().to_string(), keeper.get("address").address()?);
+        for peer in node.list() {
+            let Some(address) = peer.get("address").address() else { continue };
+            let name = peer.get("name").text().to_string();
             if all.iter().any(|known| known.0 == name || known.1 == address) {
-                self.fault(keeper, "keepers.all", "the name or the address is taken".into());
+                self.fault(peer, path, "the name or the address is taken".into());
             }
             all.push((name, address));
         }
+        all
+    }
+
+    fn rollout(&mut self, node: &Node) -> Rollout {
+        let relays = self.peers(node.get("relays"), "rollout.relays");
+        if relays.len() > RELAYS {
+            let what = format!("{} relays; a member asks {RELAYS} at the most", relays.len());
+            self.fault(node.get("relays"), "rollout.relays", what);
+        }
+        Rollout {
+            folder: node.get("folder").text().into(),
+            alone: node.find("alone").map(|alone| time(alone.duration())),
+            room: node.get("room").size() as usize,
+            relays,
+        }
+    }
+
+    fn relay(&mut self, node: &Node) -> Option<Relay> {
+        Some(Relay {
+            listen: node.get("listen").address()?,
+            folder: node.get("folder").text().into(),
+            most: time(node.get("most").duration()),
+        })
+    }
+
+    fn keepers(&mut self, node: &Node) -> Option<Keepers> {
+        let all = self.peers(node.get("all"), "keepers.all");
         if all.len() != 3 && all.len() != 5 {
             self.fault(
                 node.get("all"),
--- a/server/src/owning/mod.rs
+++ b/server/src/owning/mod.rs
@@ -35,14 +35,23 @@
 
 impl Keepers {
     pub fn addresses(&self) -> HashMap<Id, SocketAddr> {
-        self.all.iter().map(|(name, address)| (id(name), *address)).collect()
+        addresses(&self.all)
     }
-    /// An address from which the keepers can be asked: of loopback where they are there.
+    /// An address from which the keepers can be asked.
     pub fn from(&self) -> SocketAddr {
-        match self.all.first() {
-            Some((_, address)) if address.ip().is_loopback() => SocketAddr::from(([127, 0, 0, 1], 0)),
-            _ => SocketAddr::from(([0, 0, 0, 0], 0)),
-        }
+        from(&self.all)
+    }
+}
+
+pub fn addresses(peers: &[(String, SocketAddr)]) -> HashMap<Id, SocketAddr> {
+    peers.iter().map(|(name, address)| (id(name), *address)).collect()
+}
+
+/// An address from which these can be asked: of loopback where they are there.
+pub fn from(peers: &[(String, SocketAddr)]) -> SocketAddr {
+    match peers.first() {
+        Some((_, address)) if address.ip().is_loopback() => SocketAddr::from(([127, 0, 0, 1], 0)),
+        _ => SocketAddr::from(([0, 0, 0, 0], 0)),
     }
 }
 
@@ -156,11 +165,9 @@
     }
 }
 
-/// Sends what fits; what is lost is lost, as any datagram.
-pub fn send(socket: &UdpSocket, to: SocketAddr, datagram: &wire::Wire) {
-    if let Some(bytes) = letter::write(datagram) {
-        let _ = socket.try_send_to(&bytes, to);
-    }
+/// Sends what fits; what is lost is lost, as any datagram. Whether it was taken.
+pub fn send(socket: &UdpSocket, to: SocketAddr, datagram: &wire::Wire) -> bool {
+    letter::write(datagram).is_some_and(|bytes| socket.try_send_to(&bytes, to).is_ok())
 }
 
 /// A number that no other start of this program has had.
--- a/server/src/plan/mod.rs
+++ b/server/src/plan/mod.rs
@@ -76,8 +76,8 @@
     let clock = Clock::start();
     let mut term = signal(SignalKind::terminate())?;
     let mut talk = Talk::new(name, Role::Planner, tier, clock, seed).await?;
-    if let (Some(keepers), Some(set)) = (keepers, rollout) {
-        let task = Task::new(name, keepers, set, None, None, Box::new(|_| {})).await?;
+    if let Some((set, above)) = rollout.and_then(|set| Some((set, set.above(keepers)?))) {
+        let task = Task::new(name, above, set, None, None, Box::new(|_| {})).await?;
         talk.gate = Some(task.gate());
         spawn_local(task.run());
     }
--- /dev/null
+++ b/server/src/relaying/mod.rs
@@ -0,0 +1,289 @@
+//! A relay: it stands between the keepers and the members of its zone. What is decided stands in crate `relays`; here are two sockets, the
+//! texts on the disk, time and signals.
+
+use crate::counters::{add, counters};
+use crate::log;
+use crate::operator;
+use crate::owning::wire::{learns, Wire};
+use crate::owning::{self, block_on, drawn, Keepers, Steady};
+use crate::rolling::texts::{keep, load, KEPT};
+use crate::rolling::{check, LEAVES};
+use cypresscleat::api::Time;
+use cypresscleat_quorum::letter;
+use cypresscleat_relays::{Out, Relay as Decider};
+use cypresscleat_rollout::said::{Answer, Ask};
+use cypresscleat_rollout::{id, Id, Version, TEXT};
+use std::collections::{HashMap, VecDeque};
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::mpsc::{sync_channel, SyncSender};
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::{channel, Receiver};
+use tokio::time::sleep_until;
+
+/// Datagrams that are read from one side before the other side has its turn: a member that floods delays no keeper's word.
+const BATCH: usize = 64;
+/// It looks up at least this often, in tenths of a millisecond.
+const LOOK: Time = 10_000;
+
+/// A relay, as the operator's file has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Relay {
+    /// Where members find it.
+    pub listen: SocketAddr,
+    /// Where it keeps versions.
+    pub folder: PathBuf,
+    /// The longest lease that it gives.
+    pub most: Time,
+}
+
+counters! { Counters;
+    asks: "words of members that were understood",
+    told: "words to members",
+    texts: "texts among them",
+    up: "words to keepers",
+    heard: "words of keepers",
+    strangers: "answers from elsewhere than the keeper whose name they bear",
+    garbled: "datagrams that are no words of a change of policy",
+    unsent: "datagrams that the socket did not take",
+    kept: "texts put on the disk",
+    unkept: "texts that could not be",
+}
+
+/// From the reading of the operator's file to its end.
+pub fn start(path: &Path, name: &str) -> ExitCode {
+    let read = operator::read(path, None).map_err(|wrong| wrong.shown);
+    let read = read.and_then(|(operator, _)| match (operator.keepers, operator.relay) {
+        _ if name.is_empty() => Err("no name: --name or EDGE_NAME\n".into()),
+        (Some(keepers), Some(relay)) => Ok((keepers, relay)),
+        _ => Err(format!("{}: no relay\n", path.display())),
+    });
+    match read {
+        Ok((keepers, set)) => block_on(run(name, &keepers, &set)).unwrap_or_else(|error| {
+            log!("{error}");
+            ExitCode::FAILURE
+        }),
+        Err(what) => {
+            let _ = io::stderr().write_all(what.as_bytes());
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// How keeping a version went.
+type Kept = (u64, Result<(), String>);
+
+/// A thread of its own for the disk, which may take its time, or never answer: nothing here waits for it, not even the end.
+fn disk(folder: PathBuf) -> io::Result<(SyncSender<Version>, Receiver<Kept>)> {
+    let (texts, to_keep) = sync_channel::<Version>(KEPT);
+    let (done, kept) = channel(KEPT);
+    std::thread::Builder::new().name("texts".into()).spawn(move || {
+        for version in to_keep {
+            let how = keep(&folder, &version).map_err(|error| error.to_string());
+            if done.blocking_send((version.number, how)).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok((texts, kept))
+}
+
+struct Task {
+    name: String,
+    own: Id,
+    below: UdpSocket,
+    above: UdpSocket,
+    to: HashMap<Id, SocketAddr>,
+    clock: Steady,
+    relay: Decider<SocketAddr>,
+    disk: SyncSender<Version>,
+    /// Texts that the disk's thread had no room for, and that the relay is still to hear of.
+    unkept: VecDeque<Kept>,
+    counters: Counters,
+    /// Of those that are no letters, as last told.
+    told: u64,
+}
+
+/// Until it is told to stop, and has left or waited long enough for that.
+async fn run(name: &str, keepers: &Keepers, set: &Relay) -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut usr1 = signal(SignalKind::user_defined1())?;
+    let named = |error: io::Error| {
+        io::Error::new(error.kind(), format!("relay {name} on {listen}: {error}", listen = set.listen))
+    };
+    let below = UdpSocket::bind(set.listen).await.map_err(named)?;
+    let above = UdpSocket::bind(keepers.from()).await?;
+    log!("relay {name} hears members at {}", below.local_addr()?);
+    let clock = Steady::start();
+    let key = (id(name), drawn(name));
+    let all = keepers.all.iter().map(|(name, _)| id(name)).collect();
+    let mut relay = Decider::new(clock.now(), name, key, all, set.most);
+    for version in load(&set.folder) {
+        // What a disk garbled is not handed out: members would refuse it under its number.
+        match check(&version, TEXT, None) {
+            Ok(_) => relay.knows(version),
+            Err(what) => log!("policy {} was kept and is not handed out: {what}", version.number),
+        }
+    }
+    let (disk, mut kept) = disk(set.folder.clone())?;
+    let mut task = Task {
+        name: name.to_string(),
+        own: key.0,
+        below,
+        above,
+        to: keepers.addresses(),
+        clock,
+        relay,
+        disk,
+        unkept: VecDeque::new(),
+        counters: Counters::default(),
+        told: 0,
+    };
+    let mut ends = None;
+    let mut bytes = vec![0; letter::LONGEST + 1];
+    loop {
+        let now = clock.now();
+        if now >= task.relay.due() {
+            let out = task.relay.tick(now);
+            task.carry(out);
+        }
+        if let Some((number, how)) = task.unkept.pop_front() {
+            task.keeps(number, how);
+        }
+        task.tells();
+        if task.relay.left() || ends.is_some_and(|at| now >= at) {
+            break;
+        }
+        let look = if task.unkept.is_empty() { now + LOOK } else { now };
+        let due = task.relay.due().min(ends.unwrap_or(Time::MAX)).min(look);
+        tokio::select! {
+            () = sleep_until(clock.instant(due)) => {}
+            ready = task.above.readable() => ready?,
+            ready = task.below.readable() => ready?,
+            Some((number, how)) = kept.recv() => task.keeps(number, how),
+            _ = usr1.recv() => log!("{}", task.line()),
+            _ = term.recv(), if ends.is_none() => {
+                log!("relay {name} leaves");
+                // Its members hold leases of it for so long at the most.
+                ends = Some(clock.now() + set.most + LEAVES.as_millis() as Time * 10);
+                let out = task.relay.leaves(clock.now());
+                task.carry(out);
+            }
+        }
+        task.hears_above(&mut bytes);
+        task.hears_below(&mut bytes);
+    }
+    let how = if task.relay.left() { "has left" } else { "goes without the keepers' word" };
+    log!("relay {name} {how}: {}", task.line());
+    Ok(())
+}
+
+/// The next datagram of a batch; `None` where there is none. What is no datagram is word of an earlier one that found nobody.
+fn next(socket: &UdpSocket, bytes: &mut [u8]) -> Option<io::Result<(usize, SocketAddr)>> {
+    match socket.try_recv_from(bytes) {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => None,
+        got => Some(got),
+    }
+}
+
+impl Task {
+    fn hears_above(&mut self, bytes: &mut [u8]) {
+        for _ in 0..BATCH {
+            let Some(got) = next(&self.above, bytes) else { return };
+            let Ok((size, by)) = got else { continue };
+            match letter::read::<Wire>(&bytes[..size]) {
+                // Whoever else can reach this socket is no keeper by saying so. May hurt where keepers answer from another address than
+                // the one at which they hear.
+                Ok(Wire::PolicyAnswer { from, .. }) if self.to.get(&from) != Some(&by) => {
+                    add(&self.counters.strangers);
+                }
+                Ok(Wire::PolicyAnswer { from, answer }) => {
+                    add(&self.counters.heard);
+                    let out = self.relay.from_above(self.clock.now(), from, answer);
+                    self.carry(out);
+                }
+                Ok(Wire::At { keeper, address }) if learns(&mut self.to, by, keeper, address) => {
+                    self.relay.learns(keeper);
+                }
+                Ok(Wire::At { .. }) => {}
+                _ => add(&self.counters.garbled),
+            }
+        }
+    }
+
+    fn hears_below(&mut self, bytes: &mut [u8]) {
+        for _ in 0..BATCH {
+            let Some(got) = next(&self.below, bytes) else { return };
+            let Ok((size, by)) = got else { continue };
+            match letter::read::<Wire>(&bytes[..size]) {
+                Ok(Wire::PolicyAsk(ask)) if ask.bounded() => {
+                    add(&self.counters.asks);
+                    let out = self.relay.from_below(self.clock.now(), by, ask);
+                    self.carry(out);
+                }
+                _ => add(&self.counters.garbled),
+            }
+        }
+    }
+
+    /// Says what is to be said, and hands on what is to be kept.
+    fn carry(&mut self, out: Out<SocketAddr>) {
+        for (to, ask) in out.up {
+            self.says_up(to, ask);
+        }
+        for (to, answer) in out.down {
+            self.says_down(to, answer);
+        }
+        for version in out.keep {
+            let number = version.number;
+            if self.disk.try_send(version).is_err() {
+                self.unkept.push_back((number, Err("the disk is behind".into())));
+            }
+        }
+    }
+
+    fn says_up(&self, to: Id, ask: Ask) {
+        if let Some(to) = self.to.get(&to) {
+            add(&self.counters.up);
+            self.sends(&self.above, *to, &Wire::PolicyAsk(ask));
+        }
+    }
+
+    fn says_down(&self, to: SocketAddr, answer: Answer) {
+        add(&self.counters.told);
+        if matches!(answer, Answer::Text { version: Some(_), .. }) {
+            add(&self.counters.texts);
+        }
+        self.sends(&self.below, to, &Wire::PolicyAnswer { from: self.own, answer });
+    }
+
+    fn sends(&self, socket: &UdpSocket, to: SocketAddr, datagram: &Wire) {
+        if !owning::send(socket, to, datagram) {
+            add(&self.counters.unsent);
+        }
+    }
+
+    fn keeps(&mut self, number: u64, how: Result<(), String>) {
+        add(if how.is_ok() { &self.counters.kept } else { &self.counters.unkept });
+        let out = self.relay.kept(self.clock.now(), number, how);
+        self.carry(out);
+    }
+
+    /// The relay's own lines: a change of the version in force, of service, what is refused.
+    fn tells(&mut self) {
+        self.relay.log().for_each(|line| log!("{line}"));
+        let garbled = self.counters.garbled.get();
+        if garbled.is_power_of_two() && garbled != self.told {
+            self.told = garbled;
+            log!("relay {}: {garbled} datagrams that are no words of a change of policy", self.name);
+        }
+    }
+
+    fn line(&self) -> String {
+        let in_force = self.relay.in_force().map_or("none".into(), |number| number.to_string());
+        format!("{}, members {}, in_force {in_force}", self.counters.line(), self.relay.members())
+    }
+}
--- a/server/src/rolling/member.rs
+++ b/server/src/rolling/member.rs
@@ -6,7 +6,7 @@
 use crate::core::Note;
 use crate::log;
 use crate::owning::wire::{learns, Wire};
-use crate::owning::{self, drawn, Keepers, Steady};
+use crate::owning::{self, addresses, drawn, from, Steady};
 use cypresscleat_quorum::letter;
 use cypresscleat_rollout::member::{Event, Member};
 use cypresscleat_rollout::said::{Ask, Verdict};
@@ -47,17 +47,18 @@
 }
 
 impl Task {
+    /// `above` is whom it asks: keepers, or relays.
     pub async fn new(
         name: &str,
-        keepers: &Keepers,
+        above: &[(String, SocketAddr)],
         set: &Rollout,
         names: Option<Rc<Names>>,
         queue: Option<Sender<Note>>,
         apply: Apply,
     ) -> io::Result<Task> {
-        let socket = UdpSocket::bind(keepers.from()).await?;
+        let socket = UdpSocket::bind(from(above)).await?;
         let clock = Steady::start();
-        let all = keepers.all.iter().map(|(name, _)| id(name)).collect();
+        let all = above.iter().map(|(name, _)| id(name)).collect();
         let member = Member::new(clock.now(), name, (id(name), drawn(name)), all);
         let gate = Rc::new(Gate::new(clock, name));
         let mut task = Task {
@@ -68,7 +69,7 @@
             queue,
             apply,
             socket,
-            to: keepers.addresses(),
+            to: addresses(above),
             clock,
             member,
             policies: BTreeMap::from([(0, Policy::default())]),
--- a/server/src/rolling/mod.rs
+++ b/server/src/rolling/mod.rs
@@ -8,10 +8,12 @@
 pub mod texts;
 
 use crate::operator::{self, Wrong};
+use crate::owning::Keepers;
 use cypresscleat::api::Time;
 use cypresscleat_pools::Setup;
 use cypresscleat_rollout::{Rules, Version};
 use cypresscleat_settings::Names;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// What leaving may take: the keepers' lease ends by itself.
@@ -26,6 +28,18 @@
     pub alone: Option<Time>,
     /// Longest text that it has room for, in bytes.
     pub room: usize,
+    /// Whom it asks in place of the keepers; none: the keepers.
+    pub relays: Vec<(String, SocketAddr)>,
+}
+
+impl Rollout {
+    /// Whom a member asks: its zone's relays where it has any, else the keepers. Nobody where there is neither.
+    pub fn above<'a>(&'a self, keepers: Option<&'a Keepers>) -> Option<&'a [(String, SocketAddr)]> {
+        match keepers {
+            _ if !self.relays.is_empty() => Some(&self.relays),
+            keepers => keepers.map(|keepers| &keepers.all[..]),
+        }
+    }
 }
 
 /// A policy, read from its text.
--- /dev/null
+++ b/server/tests/relays.rs
@@ -0,0 +1,394 @@
+//! Changes of policy through relays, between processes of the program: keepers, two relays of one zone, app servers under load behind
+//! them and beside them, with faults in between. The journals on one clock judge, and what callers were answered.
+
+use cypresscleat_examples::rollout::{judge, Judged, Setup, Stage};
+use cypresscleat_faults::{Disk, Order};
+use serde_json::{json, Value};
+use std::net::{SocketAddr, UdpSocket};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_cypresscleat-server");
+const CONFIG: &str = include_str!("../../examples/config.json");
+/// For whatever has to happen at all.
+const PATIENCE: Duration = Duration::from_secs(25);
+const LEASE: Duration = Duration::from_secs(1);
+/// What the keepers count: both relays, and m3, which asks the keepers themselves.
+const COUNT: usize = 3;
+const ALL: [usize; 4] = [0, 1, 2, 3];
+const KEEPERS: [&str; 3] = ["k0", "k1", "k2"];
+const RELAYS: [&str; 2] = ["r0", "r1"];
+
+fn ms(many: u64) -> Duration {
+    Duration::from_millis(many)
+}
+
+fn names(all: &[&str]) -> Vec<String> {
+    all.iter().map(|name| name.to_string()).collect()
+}
+
+/// m0 asks r0 alone, m1 and m2 ask both, m3 asks the keepers as before there were relays.
+fn zone(at: usize) -> Vec<usize> {
+    [vec![0], vec![0, 1], vec![1, 0], vec![]][at].clone()
+}
+
+fn text(part: u32, more: &str) -> String {
+    format!(
+        "lease: 1s\nwithin: 8s\n{more}\npools: {{limiter: \"fixed\", pools: {{quick: {{operations: [\"lookup\"], least: 0.{part}}}}}}}\n"
+    )
+}
+
+fn stage_with(own: &dyn Fn(usize, &mut Value)) -> Stage {
+    let more = |_: usize| String::new();
+    let program = Path::new(PROGRAM);
+    let setup = Setup { program, config: CONFIG, keepers: 3, members: 4, more: &more, own, seed: 1 };
+    let stage = Stage::start_behind(&setup, 2, &zone);
+    assert!(stage.all_have(0, COUNT, PATIENCE), "they never began: {:?}", stage.policy(&["status"]));
+    assert!(stage.serve_under(0, &ALL, PATIENCE), "{:?}", told(&stage));
+    stage
+}
+
+/// Members that serve under a first version with a lease of a second.
+fn stage() -> Stage {
+    let stage = stage_with(&|_, _| {});
+    let (lines, code) = stage.propose(&text(2, ""), 20);
+    assert_eq!((code, lines[0]["version"].as_u64()), (0, Some(1)), "{lines:?}");
+    all_serve(&stage, 1);
+    stage
+}
+
+/// The last lines of each log, for whoever reads a failure.
+fn told(stage: &Stage) -> Vec<(String, Vec<String>)> {
+    let all = stage.keepers.iter().chain(&stage.relays).chain(&stage.members);
+    let last = |lines: Vec<(Instant, String)>| lines.into_iter().rev().take(6).map(|line| line.1).collect();
+    all.map(|one| (one.name.clone(), last(one.log()))).collect()
+}
+
+fn all_serve(stage: &Stage, version: u64) {
+    assert!(stage.all_have(version, COUNT, PATIENCE), "{:?} {:?}", stage.policy(&["status"]), told(stage));
+    assert!(stage.serve_under(version, &ALL, PATIENCE), "{:?}", told(stage));
+}
+
+/// The rule, by the journals; all are in peace under `version` at the end.
+fn good(stage: &mut Stage, version: u64, together: &dyn Fn(u64) -> bool) -> Judged {
+    stage.peace();
+    all_serve(stage, version);
+    let books = stage.rests();
+    assert_eq!((books.lost, books.asked), (0, books.answered), "{books:?}");
+    let judged = judge(&stage.journal(), LEASE.as_secs_f64() * 1e3, together);
+    assert_eq!(judged.wrong, 0, "{judged:?}");
+    judged
+}
+
+/// Proposes until it is taken; the version.
+fn takes(stage: &Stage, part: u32) -> u64 {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let (lines, code) = stage.propose(&text(part, ""), 10);
+        if code == 0 {
+            return lines[0]["version"].as_u64().expect("a version");
+        }
+        assert!(Instant::now() < until, "{lines:?} {:?}", told(stage));
+        sleep(ms(200));
+    }
+}
+
+fn decided(stage: &Stage, version: u64) -> bool {
+    let until = Instant::now() + PATIENCE;
+    let ends = |line: &Value| {
+        matches!(line["event"].as_str(), Some("taken" | "dropped")) && line["version"] == json!(version)
+    };
+    while Instant::now() < until {
+        if stage.journal().iter().any(ends) {
+            return true;
+        }
+        sleep(ms(20));
+    }
+    false
+}
+
+fn lines(stage: &Stage, name: &str, words: &str) -> usize {
+    let all = stage.relays.iter().chain(&stage.members);
+    all.filter(|one| one.name == name).flat_map(|one| one.log()).filter(|line| line.1.contains(words)).count()
+}
+
+/// Where a relay hears members.
+fn hears(stage: &Stage, name: &str) -> SocketAddr {
+    let file = std::fs::read_to_string(stage.operator(name)).expect("a file");
+    let at = file.split("listen: \"").nth(1).and_then(|rest| rest.split('"').next());
+    at.and_then(|at| at.parse().ok()).expect("an address")
+}
+
+#[test]
+fn a_change_goes_through_relays_beside_a_member_at_the_keepers() {
+    let mut stage = stage();
+    stage.load(2, ms(10));
+    for part in 3..6 {
+        let version = takes(&stage, part);
+        all_serve(&stage, version);
+    }
+    let (status, _) = stage.policy(&["status"]);
+    let mut known: Vec<&str> = status[0]["members"]
+        .as_array()
+        .map_or(Vec::new(), |all| all.iter().filter_map(|one| one["name"].as_str()).collect());
+    known.sort_unstable();
+    assert_eq!(known, ["m3", "r0", "r1"], "{status:?}");
+    let judged = good(&mut stage, 4, &|_| false);
+    assert!(judged.admitted > 100, "{judged:?}");
+}
+
+#[test]
+fn what_one_member_behind_a_relay_refuses_is_in_force_nowhere_and_the_reason_names_it() {
+    // m1 knows no "lookup".
+    let own = |at: usize, all: &mut Value| {
+        if at == 1 {
+            all["settings"]["categories"][1]["name"] = json!("other");
+        }
+    };
+    let mut stage = stage_with(&own);
+    assert_eq!(stage.propose("lease: 1s\n", 20).1, 0);
+    all_serve(&stage, 1);
+    let (lines, code) = stage.propose(&text(3, ""), 20);
+    let error = lines[0]["error"].as_str().unwrap_or("").to_string();
+    assert_eq!(code, 3, "{lines:?}");
+    assert!(error.contains("m1: policy:4:") && error.contains("no operation \"lookup\""), "{error}");
+    // Past the longest lease nobody has gone over.
+    sleep(LEASE);
+    let under = |line: &&Value| {
+        matches!(line["event"].as_str(), Some("in_force" | "admitted")) && line["version"] == json!(2)
+    };
+    assert_eq!(stage.journal().iter().filter(under).count(), 0);
+    good(&mut stage, 1, &|_| false);
+}
+
+#[test]
+fn relays_killed_in_the_middle_of_a_change_leave_it_decided_once_and_alike() {
+    let mut stage = stage();
+    stage.load(1, ms(10));
+    let mut version = 1;
+    for relay in RELAYS {
+        // m2 answers late: there is time to kill.
+        RELAYS.iter().for_each(|one| stage.net.both("m2", one, |link| link.delay = ms(150)));
+        let (lines, code) = stage.propose(&text(3 + version as u32, ""), 0);
+        assert_eq!(code, 5, "{lines:?}");
+        version += 1;
+        stage.obey(&Order::Kill(relay.into()));
+        assert!(decided(&stage, version), "{:?}", told(&stage));
+        stage.obey(&Order::Start(relay.into(), Disk::Old));
+        stage.obey(&Order::Heal);
+        let now = stage.policy(&["show"]).0[0]["version"].as_u64().expect("a version");
+        all_serve(&stage, now);
+    }
+    let version = takes(&stage, 7);
+    good(&mut stage, version, &|_| false);
+}
+
+#[test]
+fn behind_one_that_was_stopped_past_its_lease_nobody_admits_under_the_old_version() {
+    let mut stage = stage();
+    stage.load(2, ms(5));
+    sleep(ms(300));
+    stage.obey(&Order::Stop("r0".into()));
+    let version = takes(&stage, 3);
+    assert!(stage.logged("m0", "out of service", 1, PATIENCE));
+    sleep(ms(500));
+    stage.obey(&Order::Wake("r0".into()));
+    good(&mut stage, version, &|_| false);
+    assert!(lines(&stage, "r0", "no members are answered") > 0, "{:?}", told(&stage));
+    let journal = stage.journal();
+    let woken = journal.iter().position(|line| line["event"] == json!("woken")).expect("it was woken");
+    let first = journal[woken..]
+        .iter()
+        .find(|line| line["event"] == json!("admitted") && line["member"] == json!("m0"))
+        .expect("it serves again");
+    assert_eq!(first["version"].as_u64(), Some(version));
+}
+
+#[test]
+fn one_that_comes_back_with_an_empty_disk_has_the_text_again_before_its_members_do() {
+    let mut stage = stage();
+    stage.load(1, ms(10));
+    stage.obey(&Order::Kill("r0".into()));
+    let version = takes(&stage, 4);
+    stage.obey(&Order::Kill("m0".into()));
+    for name in ["r0", "m0"] {
+        stage.obey(&Order::Start(name.into(), Disk::Empty));
+    }
+    good(&mut stage, version, &|_| false);
+    let kept = stage.folder().join("disk-r0").join(format!("{version:012}.json"));
+    assert!(kept.is_file(), "what it handed out is on its disk");
+}
+
+#[test]
+fn both_relays_gone_stop_their_members_and_nobody_else_until_one_is_back() {
+    let mut stage = stage();
+    stage.load(1, ms(10));
+    for relay in RELAYS {
+        stage.obey(&Order::Kill(relay.into()));
+    }
+    let version = takes(&stage, 3);
+    for member in ["m0", "m1", "m2"] {
+        assert!(stage.logged(member, "out of service", 1, PATIENCE), "{member}");
+    }
+    let before = stage.books().throttled;
+    sleep(ms(500));
+    assert!(stage.books().throttled > before, "who asks them is turned away at once");
+    assert!(stage.all_have(version, 1, PATIENCE), "{:?}", stage.policy(&["status"]));
+    assert_eq!(lines(&stage, "m3", "out of service"), 0);
+    stage.obey(&Order::Start("r0".into(), Disk::Old));
+    assert!(stage.serve_under(version, &ALL, PATIENCE), "{:?}", told(&stage));
+    assert!(stage.all_have(version, 2, PATIENCE), "{:?}", stage.policy(&["status"]));
+    good(&mut stage, version, &|_| false);
+}
+
+#[test]
+fn one_that_is_cut_from_the_keepers_stops_its_members_and_says_so_to_them() {
+    let mut stage = stage();
+    stage.load(2, ms(10));
+    stage.obey(&Order::Cut(vec![names(&RELAYS[..1]), names(&KEEPERS)]));
+    let version = takes(&stage, 4);
+    assert!(stage.logged("r0", "no members are answered", 1, PATIENCE), "{:?}", told(&stage));
+    assert!(stage.logged("m0", "out of service", 1, PATIENCE), "{:?}", told(&stage));
+    // The other relay is there for those that know it.
+    assert!(stage.serve_under(version, &ALL[1..], PATIENCE), "{:?}", told(&stage));
+    stage.obey(&Order::Heal);
+    good(&mut stage, version, &|_| false);
+}
+
+#[test]
+fn together_nobody_admits_beside_a_newer_version_on_either_side_of_a_relay() {
+    let mut stage = stage();
+    stage.load(3, ms(3));
+    sleep(ms(300));
+    RELAYS.iter().for_each(|one| stage.net.both("m2", one, |link| link.delay = ms(100)));
+    KEEPERS.iter().for_each(|one| stage.net.both("r1", one, |link| link.delay = ms(30)));
+    for part in 3..6 {
+        let (lines, code) = stage.propose(&text(part, "together: true"), 20);
+        assert_eq!(code, 0, "{lines:?} {:?}", told(&stage));
+        sleep(ms(300));
+    }
+    let judged = good(&mut stage, 4, &|version| version > 1);
+    assert_eq!(judged.mixture_ms, 0.0, "{judged:?}");
+    let held = |name: &str| lines(&stage, name, "holds what comes") > 0;
+    assert!(held("m2") && held("m3"), "{:?}", told(&stage));
+}
+
+#[test]
+fn one_that_is_told_to_end_leaves_in_the_middle_of_a_change_and_its_members_go_over() {
+    let mut stage = stage();
+    stage.load(1, ms(10));
+    RELAYS.iter().for_each(|one| stage.net.both("m2", one, |link| link.delay = ms(150)));
+    let (lines, code) = stage.propose(&text(4, ""), 0);
+    assert_eq!(code, 5, "{lines:?}");
+    stage.obey(&Order::End("r1".into()));
+    let ended = stage.process("r1").ended(PATIENCE);
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+    assert!(decided(&stage, 2), "{:?}", told(&stage));
+    stage.obey(&Order::Heal);
+    let version = takes(&stage, 5);
+    assert!(stage.serve_under(version, &ALL, PATIENCE), "{:?}", told(&stage));
+    assert!(stage.all_have(version, 2, PATIENCE), "{:?}", stage.policy(&["status"]));
+    stage.obey(&Order::Start("r1".into(), Disk::Old));
+    good(&mut stage, version, &|_| false);
+}
+
+#[test]
+fn a_flood_that_nobody_understands_delays_no_change_and_is_counted() {
+    let mut stage = stage();
+    stage.load(1, ms(10));
+    let over = AtomicBool::new(false);
+    let at = hears(&stage, "r0");
+    let version = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let socket = UdpSocket::bind("127.0.0.1:0").expect("a port of loopback");
+            let mut bytes = [0xC5u8; 1400];
+            for count in 0u32.. {
+                if over.load(Ordering::SeqCst) {
+                    return;
+                }
+                bytes[1] = count as u8;
+                let _ = socket.send_to(&bytes[..count as usize % bytes.len()], at);
+                if count.is_multiple_of(4) {
+                    sleep(ms(1));
+                }
+            }
+        });
+        let version = takes(&stage, 3);
+        all_serve(&stage, version);
+        over.store(true, Ordering::SeqCst);
+        version
+    });
+    stage.process("r0").signal("USR1");
+    assert!(stage.logged("r0", "in_force 2", 1, PATIENCE), "{:?}", told(&stage));
+    assert!(lines(&stage, "r0", "datagrams that are no words of a change of policy") > 0);
+    good(&mut stage, version, &|_| false);
+    for name in KEEPERS.iter().chain(&RELAYS) {
+        assert!(stage.process(name).runs(), "{name}");
+    }
+}
+
+#[test]
+fn faults_by_chance_on_both_sides_of_relays_mix_no_versions_past_the_bound_and_lose_nothing() {
+    let mut stage = stage();
+    stage.load(2, ms(15));
+    let texts = |count: u64| match count % 4 {
+        0 => text(3, "together: true"),
+        1 => "lease: 1s\nwithin: 6s\npools: {limiter: \"fixed\", pools: {a: {operations: [\"nosuch\"]}}}\n"
+            .to_string(),
+        _ => text((2 + count % 5) as u32, ""),
+    };
+    let proposed = stage.faults(35, Duration::from_secs(12), &texts);
+    let together = |version: u64| proposed.get(&version).is_some_and(|text| text.contains("together: true"));
+    let version = takes(&stage, 7);
+    let judged = good(&mut stage, version, &together);
+    assert!(judged.taken >= 2, "{judged:?}");
+}
+
+fn check(text: &str) -> (i32, String) {
+    let path = std::env::temp_dir().join(format!("cypresscleat-relays-{}.cue", std::process::id()));
+    std::fs::write(&path, text).expect("to write the operator's file");
+    let ran = std::process::Command::new(PROGRAM)
+        .args(["check", "--show", "--operator", &path.display().to_string()])
+        .output()
+        .expect("to run the program");
+    let _ = std::fs::remove_file(path);
+    (ran.status.code().unwrap_or(-1), String::from_utf8_lossy(&ran.stdout).into_owned())
+}
+
+#[test]
+fn the_operators_file_names_what_is_wrong_with_its_place() {
+    let keepers = "keepers: {all: [{name: \"k0\", address: \"127.0.0.1:1\"}, {name: \"k1\", address: \"127.0.0.1:2\"}, \
+                   {name: \"k2\", address: \"127.0.0.1:3\"}]}\n";
+    let relay = "relay: {listen: \"127.0.0.1:9\", folder: \"/f\"}\n";
+    let (code, shown) = check(&format!("{keepers}{relay}"));
+    assert_eq!(code, 0, "{shown}");
+    assert!(shown.contains("most: 2s"), "{shown}");
+    let zone = "relays: [{name: \"r0\", address: \"127.0.0.1:4\"}, {name: \"r1\", address: \"127.0.0.1:5\"}]";
+    // A member behind relays asks no keeper.
+    assert_eq!(check(&format!("rollout: {{folder: \"/f\", {zone}}}\n")).0, 0);
+    let many: Vec<String> =
+        (0..9).map(|at| format!("{{name: \"r{at}\", address: \"127.0.0.1:{}\"}}", at + 10)).collect();
+    for (text, place, what) in [
+        (relay.to_string(), ":1:8", "relay: it needs keepers"),
+        ("rollout: {folder: \"/f\"}\n".into(), ":1:10", "rollout: it needs keepers"),
+        (format!("{keepers}relay: {{\n  folder: \"/f\"\n}}\n"), ":2:8", "listen"),
+        (format!("{keepers}{}", relay.replace("\"/f\"", "\"/f\", most: 1ms")), ":2:52", "most"),
+        (format!("{keepers}{}", relay.replace("\"/f\"", "\"/f\", moss: 1s")), ":2:46", "moss"),
+        (
+            format!("rollout: {{folder: \"/f\", {}}}\n", zone.replace("r1", "r0")),
+            ":1:72",
+            "rollout.relays: the name or the address is taken",
+        ),
+        (
+            format!("rollout: {{folder: \"/f\", relays: [{}]}}\n", many.join(", ")),
+            ":1:33",
+            "rollout.relays: 9 relays; a member asks 8 at the most",
+        ),
+    ] {
+        let (code, shown) = check(&text);
+        assert_eq!(code, 2, "{text}\n{shown}");
+        assert!(shown.contains(place) && shown.contains(what), "{place} {what}:\n{shown}");
+    }
+}
