--- a/examples/src/rollout.rs
+++ b/examples/src/rollout.rs
@@ -1,4 +1,4 @@
-//! Keepers, app servers with kernel stand-ins under steady load, and changes of policy made through the command line, with faults between
+//! Keepers, relays by zone where they are wanted, app servers with kernel stand-ins under steady load, and changes of policy made through the command line, with faults between
 //! them. The journal is what each process did, on one monotonic clock; the callers' own books say who was answered.
 
 use crate::{invocation, run_cores, Kernel, Link, Router};
@@ -40,6 +40,7 @@
 pub struct Stage {
     pub net: Net,
     pub keepers: Vec<Process>,
+    pub relays: Vec<Process>,
     pub members: Vec<Process>,
     pub at: Vec<SocketAddr>,
     pub faults: Vec<String>,
@@ -57,6 +58,11 @@
 
 impl Stage {
     pub fn start(setup: &Setup) -> Stage {
+        Stage::start_behind(setup, 0, &|_| Vec::new())
+    }
+
+    /// With so many relays; `behind` says of a member which of them it asks, and none where it asks the keepers.
+    pub fn start_behind(setup: &Setup, relays: usize, behind: &dyn Fn(usize) -> Vec<usize>) -> Stage {
         let net = Net::new(setup.seed);
         let folder = std::env::temp_dir().join(format!(
             "cypresscleat-rollout-{}-{}",
@@ -93,10 +99,21 @@
             keepers.push(process.disk(&folder.join(&name)));
         }
         keepers_of("operator", " ");
+        let hear: Vec<SocketAddr> = (0..relays).map(|_| free_port()).collect();
+        let mut between = Vec::new();
+        for (at, listen) in hear.iter().enumerate() {
+            let name = format!("r{at}");
+            let disk = folder.join(format!("disk-{name}"));
+            let rest = format!("relay: {{listen: \"{listen}\", folder: \"{}\"}}", disk.display());
+            let path = keepers_of(&name, &rest);
+            let words = ["relay", "--operator", &path, "--name", &name];
+            between.push(Process::new(&name, setup.program, &words).disk(&disk));
+        }
         let ran: Arc<Mutex<Vec<String>>> = Arc::default();
         let mut stage = Stage {
             net: net.clone(),
             keepers,
+            relays: between,
             members: Vec::new(),
             at: Vec::new(),
             faults: Vec::new(),
@@ -112,15 +129,26 @@
         };
         for at in 0..setup.members {
             let name = format!("m{at}");
+            let zone: Vec<String> = behind(at)
+                .into_iter()
+                .map(|relay| {
+                    let address = net.datagrams(&name, &format!("r{relay}"), hear[relay]);
+                    format!("{{name: \"r{relay}\", address: \"{address}\"}}")
+                })
+                .collect();
+            let relays = match zone.is_empty() {
+                true => String::new(),
+                false => format!("relays: [{}], ", zone.join(", ")),
+            };
             let rest = format!(
-                "rollout: {{folder: \"{}\"}}\n{}",
+                "rollout: {{{relays}folder: \"{}\"}}\n{}",
                 folder.join(format!("disk-{name}")).display(),
                 (setup.more)(at)
             );
             let path = keepers_of(&name, &rest);
             stage.member("serve", &name, &path, &|all| (setup.own)(at, all));
         }
-        stage.keepers.iter_mut().chain(&mut stage.members).for_each(Process::start);
+        stage.all().for_each(Process::start);
         stage
     }
 
@@ -176,7 +204,7 @@
     }
 
     fn all(&mut self) -> impl Iterator<Item = &mut Process> {
-        self.keepers.iter_mut().chain(self.members.iter_mut())
+        self.keepers.iter_mut().chain(&mut self.relays).chain(&mut self.members)
     }
 
     pub fn process(&mut self, name: &str) -> &mut Process {
@@ -234,11 +262,12 @@
         }
     }
 
-    /// Waits until a member's log has so many lines with these words.
+    /// Waits until a process's log has so many lines with these words.
     pub fn logged(&self, name: &str, words: &str, many: usize, within: Duration) -> bool {
         let until = Instant::now() + within;
         loop {
-            let process = self.keepers.iter().chain(&self.members).find(|one| one.name == name);
+            let all = self.keepers.iter().chain(&self.relays).chain(&self.members);
+            let process = all.clone().find(|one| one.name == name);
             let found =
                 process.map_or(0, |one| one.log().iter().filter(|line| line.1.contains(words)).count());
             if found >= many {
@@ -290,6 +319,30 @@
         false
     }
 
+    /// Waits until all these members serve under a version, by their own journal: those behind relays are not known to the keepers.
+    pub fn serve_under(&self, version: u64, members: &[usize], within: Duration) -> bool {
+        let until = Instant::now() + within;
+        loop {
+            let mut under: BTreeMap<String, Option<u64>> = BTreeMap::new();
+            for line in self.journal() {
+                let Some(member) = line["member"].as_str() else { continue };
+                match line["event"].as_str() {
+                    Some("in_force") => drop(under.insert(member.into(), line["version"].as_u64())),
+                    Some("started" | "out_of_service" | "killed") => drop(under.insert(member.into(), None)),
+                    _ => {}
+                }
+            }
+            let serves = |at: &usize| under.get(&format!("m{at}")) == Some(&Some(version));
+            if members.iter().all(serves) {
+                return true;
+            }
+            if Instant::now() > until {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
     /// Callers that ask one after the other, so many at each member, with a pause between.
     pub fn load(&mut self, each: usize, pause: Duration) {
         for at in 0..self.at.len() {
@@ -369,7 +422,16 @@
             count += 1;
             let draw = |at: u64| chance(seed, "rollout", count * 16 + at);
             let below = |at: u64, many: usize| ((draw(at) * many as f64) as usize).min(many - 1);
-            let member = self.members[below(1, self.members.len())].name.clone();
+            let named = |all: &mut dyn Iterator<Item = &Process>| -> Vec<String> {
+                all.map(|one| one.name.clone()).collect()
+            };
+            // A relay is hurt as a member is, and heard from as a keeper is; not more than one of them at once.
+            let hurt = later.iter().any(
+                |(_, order)| matches!(order, Order::Start(one, _) | Order::Wake(one) if one.starts_with('r')),
+            );
+            let low = named(&mut self.members.iter().chain(self.relays.iter().filter(|_| !hurt)));
+            let high = named(&mut self.keepers.iter().chain(&self.relays));
+            let (member, above) = (low[below(1, low.len())].clone(), high[below(2, high.len())].clone());
             let keeper = self.keepers[below(2, self.keepers.len())].name.clone();
             let after = |seconds: f64| Instant::now() + Duration::from_secs_f64(seconds);
             let busy = |name: &str| {
@@ -381,7 +443,6 @@
             let calm = !later.iter().any(
                 |(_, order)| matches!(order, Order::Start(one, _) | Order::Wake(one) if one.starts_with('k')),
             );
-            let keepers: Vec<String> = self.keepers.iter().map(|one| one.name.clone()).collect();
             let (hold, disk) = (0.2 + 3.0 * draw(3), if draw(4) < 0.25 { Disk::Empty } else { Disk::Old });
             let order = match below(0, 10) {
                 0 | 1 if !busy(&member) => {
@@ -394,11 +455,12 @@
                 }
                 4 => {
                     later.push((after(hold), Order::Heal));
-                    Some(Order::Cut(vec![vec![member], keepers]))
+                    let high = high.into_iter().filter(|one| *one != member).collect();
+                    Some(Order::Cut(vec![vec![member], high]))
                 }
-                5 => Some(Order::OneWay(keeper, member)),
-                6 => Some(Order::Slow(member, keeper, Duration::from_millis((400.0 * draw(5)) as u64))),
-                7 => Some(Order::Lose(member, keeper, 0.3)),
+                5 => Some(Order::OneWay(above, member)),
+                6 => Some(Order::Slow(member, above, Duration::from_millis((400.0 * draw(5)) as u64))),
+                7 => Some(Order::Lose(member, above, 0.3)),
                 8 if calm && !busy(&keeper) => {
                     later.push((after(hold / 2.0), Order::Start(keeper.clone(), Disk::Old)));
                     Some(Order::Kill(keeper))
@@ -451,6 +513,7 @@
     fn drop(&mut self) {
         self.over.store(true, Ordering::SeqCst);
         self.keepers.clear();
+        self.relays.clear();
         self.members.clear();
         if !thread::panicking() {
             let _ = std::fs::remove_dir_all(&self.folder);
--- a/server/tests/relays.rs
+++ b/server/tests/relays.rs
@@ -3,6 +3,9 @@
 
 use cypresscleat_examples::rollout::{judge, Judged, Setup, Stage};
 use cypresscleat_faults::{Disk, Order};
+use cypresscleat_quorum::letter;
+use cypresscleat_rollout::said::Answer;
+use cypresscleat_server::owning::wire::Wire;
 use serde_json::{json, Value};
 use std::net::{SocketAddr, UdpSocket};
 use std::path::Path;
@@ -132,7 +135,7 @@
     let (status, _) = stage.policy(&["status"]);
     let mut known: Vec<&str> = status[0]["members"]
         .as_array()
-        .map_or(Vec::new(), |all| all.iter().filter_map(|one| one["name"].as_str()).collect());
+        .map_or(Vec::new(), |all| all.iter().filter_map(|one| one["member"].as_str()).collect());
     known.sort_unstable();
     assert_eq!(known, ["m3", "r0", "r1"], "{status:?}");
     let judged = good(&mut stage, 4, &|_| false);
@@ -285,6 +288,7 @@
     stage.obey(&Order::End("r1".into()));
     let ended = stage.process("r1").ended(PATIENCE);
     assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+    assert!(stage.logged("r1", "relay r1 has left", 1, PATIENCE), "{:?}", told(&stage));
     assert!(decided(&stage, 2), "{:?}", told(&stage));
     stage.obey(&Order::Heal);
     let version = takes(&stage, 5);
@@ -294,6 +298,95 @@
     good(&mut stage, version, &|_| false);
 }
 
+#[test]
+fn one_that_is_told_to_end_where_no_keeper_answers_ends_by_itself() {
+    let mut stage = stage();
+    KEEPERS.iter().for_each(|one| stage.obey(&Order::Kill(one.to_string())));
+    stage.obey(&Order::End("r0".into()));
+    let ended = stage.process("r0").ended(PATIENCE);
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+    assert!(stage.logged("r0", "goes without the keepers' word", 1, PATIENCE), "{:?}", told(&stage));
+    good(&mut stage, 1, &|_| false);
+}
+
+/// Where changes wait for everybody the new life takes the former's place at once, and its table is empty.
+#[test]
+fn a_new_life_speaks_for_nobody_until_the_leases_of_the_former_are_over() {
+    let mut stage = stage();
+    let wait = "missing: \"wait\"\ntogether: true";
+    assert_eq!(stage.propose(&text(3, wait), 20).1, 0);
+    all_serve(&stage, 2);
+    stage.load(3, ms(5));
+    sleep(ms(300));
+    // m0 holds a lease of the former life, and is not heard by the new one.
+    stage.obey(&Order::Cut(vec![names(&["m0"]), names(&RELAYS)]));
+    stage.obey(&Order::Kill("r0".into()));
+    stage.obey(&Order::Start("r0".into(), Disk::Old));
+    let (lines, code) = stage.propose(&text(4, wait), 20);
+    assert_eq!(code, 0, "{lines:?} {:?}", told(&stage));
+    assert!(stage.serve_under(3, &ALL[1..], PATIENCE), "{:?}", told(&stage));
+    stage.obey(&Order::Heal);
+    let judged = good(&mut stage, 3, &|version| version > 2);
+    assert!(judged.admitted > 100, "{judged:?}");
+}
+
+#[test]
+fn what_a_relay_can_not_keep_is_in_force_nowhere_and_the_reason_names_it() {
+    let mut stage = stage();
+    // In the place where the file of the next version is written first.
+    let place = stage.folder().join("disk-r0").join("000000000002.new");
+    std::fs::create_dir(&place).expect("a folder");
+    let (lines, code) = stage.propose(&text(3, ""), 20);
+    let error = lines[0]["error"].as_str().unwrap_or("").to_string();
+    assert_eq!(code, 3, "{lines:?}");
+    assert!(error.contains("r0: ") && error.contains("directory"), "{error}");
+    stage.process("r0").signal("USR1");
+    assert!(stage.logged("r0", "unkept 1", 1, PATIENCE), "{:?}", told(&stage));
+    std::fs::remove_dir(&place).expect("a folder");
+    let version = takes(&stage, 4);
+    good(&mut stage, version, &|_| false);
+}
+
+/// The ports of loopback at which a process hears datagrams.
+fn ports(id: u32) -> Vec<u16> {
+    let links = std::fs::read_dir(format!("/proc/{id}/fd")).into_iter().flatten().flatten();
+    let inodes: Vec<String> = links
+        .filter_map(|link| std::fs::read_link(link.path()).ok())
+        .filter_map(|link| link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']').map(String::from))
+        .collect();
+    let all = std::fs::read_to_string("/proc/net/udp").unwrap_or_default();
+    let port = |line: &str| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let known = inodes.iter().any(|inode| words.get(9) == Some(&inode.as_str()));
+        known.then(|| u16::from_str_radix(words[1].split(':').nth(1)?, 16).ok()).flatten()
+    };
+    all.lines().filter_map(port).collect()
+}
+
+#[test]
+fn words_of_strangers_that_say_they_are_a_keeper_are_counted_and_not_followed() {
+    let mut stage = stage();
+    let (id, own) = (stage.process("r0").id().expect("it runs"), hears(&stage, "r0").port());
+    let above: Vec<u16> = ports(id).into_iter().filter(|port| *port != own).collect();
+    assert_eq!(above.len(), 1, "{above:?}");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port of loopback");
+    let at = SocketAddr::from(([127, 0, 0, 1], above[0]));
+    let nobody = Answer::Elsewhere { leader: 0 };
+    let said = Wire::PolicyAnswer { from: cypresscleat_rollout::id("k0"), answer: nobody };
+    let stranger = socket.local_addr().expect("an address");
+    let led = Wire::At { keeper: 7, address: stranger };
+    for word in [said, led] {
+        let bytes = letter::write(&word).expect("a datagram");
+        for _ in 0..20 {
+            let _ = socket.send_to(&bytes, at);
+        }
+    }
+    let version = takes(&stage, 3);
+    good(&mut stage, version, &|_| false);
+    stage.process("r0").signal("USR1");
+    assert!(stage.logged("r0", "strangers 20,", 1, PATIENCE), "{:?}", told(&stage));
+}
+
 #[test]
 fn a_flood_that_nobody_understands_delays_no_change_and_is_counted() {
     let mut stage = stage();
