--- a/examples/src/toy.rs
+++ b/examples/src/toy.rs
@@ -44,6 +44,13 @@
                 .action(clap::ArgAction::SetTrue)
                 .conflicts_with_all(["scgi", "tier", "owners"]),
         )
+        .arg(
+            Arg::new("relays")
+                .long("relays")
+                .action(clap::ArgAction::SetTrue)
+                .requires("rollout")
+                .help("Two relays between the keepers and five of the six app servers"),
+        )
         .arg(
             Arg::new("owners")
                 .long("owners")
@@ -89,6 +96,7 @@
             number("keepers"),
             number("seconds"),
             number("seed"),
+            words.get_flag("relays"),
             journal,
         );
     }
@@ -186,6 +194,7 @@
     keepers: u64,
     seconds: u64,
     seed: u64,
+    relays: bool,
     journal: Option<&Path>,
 ) -> ExitCode {
     let setup = rollout::Setup {
@@ -197,13 +206,20 @@
         own: &|_, _| {},
         seed,
     };
-    let mut stage = rollout::Stage::start(&setup);
-    if !stage.all_have(0, 6, Duration::from_secs(20)) {
+    // With relays one member goes on asking the keepers, who count it and the relays.
+    let (relays, count) = if relays { (2, 3) } else { (0, 6) };
+    let behind = |at: usize| if at < 5 { (0..relays).collect() } else { Vec::new() };
+    let mut stage = rollout::Stage::start_behind(&setup, relays, &behind);
+    let all_have = |stage: &rollout::Stage, version: u64| {
+        let within = Duration::from_secs(20);
+        stage.all_have(version, count, within) && stage.serve_under(version, &[0, 1, 2, 3, 4, 5], within)
+    };
+    if !all_have(&stage, 0) {
         println!("they never began");
         return ExitCode::FAILURE;
     }
     // In peace: the bound is the lease of the version that is left, and that of each instance's own file is longer.
-    if stage.propose("lease: 1s\nwithin: 6s\n", 20).1 != 0 || !stage.all_have(1, 6, Duration::from_secs(20)) {
+    if stage.propose("lease: 1s\nwithin: 6s\n", 20).1 != 0 || !all_have(&stage, 1) {
         println!("they never took the first version");
         return ExitCode::FAILURE;
     }
@@ -220,7 +236,7 @@
         }
     }
     let last = stage.policy(&["status"]).0.first().and_then(|one| one["in_force"].as_u64()).unwrap_or(0);
-    let settled = code == 0 && stage.all_have(last, 6, Duration::from_secs(20));
+    let settled = code == 0 && all_have(&stage, last);
     let books = stage.rests();
     let all = stage.journal();
     let together = |version: u64| proposed.get(&version).is_some_and(|text| text.contains("together: true"));
--- a/server/src/args.rs
+++ b/server/src/args.rs
@@ -4,6 +4,7 @@
 use crate::owning::Job;
 use crate::rolling::ask::{What as Policy, Words};
 use clap::{Arg, ArgMatches, Command};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// What the program is to do.
@@ -130,6 +131,7 @@
                 .arg(Arg::new("version").long("version").value_name("N").value_parser(clap::value_parser!(u64)))
                 .arg(Arg::new("from").long("from").value_name("N").value_parser(clap::value_parser!(u64)).help("The version it was made from; else the one in force"))
                 .arg(Arg::new("instance").long("instance").value_name("NAME"))
+                .arg(Arg::new("relay").long("relay").value_name("ADDRESS").value_parser(clap::value_parser!(SocketAddr)).help("With status: the members of the relay that hears there"))
                 .arg(Arg::new("wait").long("wait").value_name("SECONDS").value_parser(clap::value_parser!(u64).range(0..=3600)).default_value("60"))
                 .arg(Arg::new("json").long("json").action(clap::ArgAction::SetTrue)),
         )
@@ -170,6 +172,7 @@
                 from: own.get_one::<u64>("from").copied(),
                 instance: text("instance"),
                 wait: own.get_one::<u64>("wait").copied().unwrap_or(60),
+                relay: own.get_one::<SocketAddr>("relay").copied(),
                 json: own.get_flag("json"),
             };
             Task::Policy { operator: operator(own).unwrap_or_default(), words }
--- a/server/src/rolling/ask.rs
+++ b/server/src/rolling/ask.rs
@@ -3,12 +3,14 @@
 
 use crate::operator::{self, Operator};
 use crate::owning::wire::{Asker, Heard, Wire};
+use crate::owning::Keepers;
 use crate::rolling::read;
 use cypresscleat_rollout::policies::{Outcome, Stage, Version};
 use cypresscleat_rollout::said::{Answer, Ask, Line, Verdict};
 use cypresscleat_rollout::{cut, id, Key, NAME, WHY};
 use serde_json::{json, Value};
 use std::io::{self, IsTerminal, Write};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -35,6 +37,8 @@
     pub instance: String,
     /// Seconds for which a change is watched.
     pub wait: u64,
+    /// How things stand at the relay that hears there, in place of the keepers.
+    pub relay: Option<SocketAddr>,
     pub json: bool,
 }
 
@@ -81,6 +85,15 @@
     if words.what == What::Check {
         return Ok(text(words).map(|(_, version)| format!("good, {:016x}\n", version.hash)));
     }
+    if let Some(relay) = words.relay {
+        if words.what != What::Status {
+            return Ok(Err((BAD, "--relay goes with status only".into())));
+        }
+        let all = vec![("relay".to_string(), relay)];
+        let found = status(&mut Asker::new(&Keepers { all, lease: 0, folder: None })?)?;
+        let silent = || (NO_QUORUM, format!("no relay answers at {relay}"));
+        return Ok(found.map(|found| found.shown(words.json)).ok_or_else(silent));
+    }
     let Some(keepers) = &operator.keepers else {
         return Ok(Err((BAD, "no keepers in the operator's file".into())));
     };
--- a/server/tests/relays.rs
+++ b/server/tests/relays.rs
@@ -7,6 +7,7 @@
 use cypresscleat_rollout::said::Answer;
 use cypresscleat_server::owning::wire::Wire;
 use serde_json::{json, Value};
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, UdpSocket};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -87,9 +88,13 @@
 
 /// Proposes until it is taken; the version.
 fn takes(stage: &Stage, part: u32) -> u64 {
+    takes_with(stage, part, "")
+}
+
+fn takes_with(stage: &Stage, part: u32, more: &str) -> u64 {
     let until = Instant::now() + PATIENCE;
     loop {
-        let (lines, code) = stage.propose(&text(part, ""), 10);
+        let (lines, code) = stage.propose(&text(part, more), 10);
         if code == 0 {
             return lines[0]["version"].as_u64().expect("a version");
         }
@@ -138,6 +143,16 @@
         .map_or(Vec::new(), |all| all.iter().filter_map(|one| one["member"].as_str()).collect());
     known.sort_unstable();
     assert_eq!(known, ["m3", "r0", "r1"], "{status:?}");
+    let below: BTreeSet<String> = RELAYS
+        .iter()
+        .flat_map(|relay| {
+            let (status, code) = stage.policy(&["status", "--relay", &hears(&stage, relay).to_string()]);
+            assert_eq!((code, &status[0]["in_force"]), (0, &json!(4)), "{status:?}");
+            status[0]["members"].as_array().cloned().unwrap_or_default()
+        })
+        .filter_map(|one| one["member"].as_str().map(String::from))
+        .collect();
+    assert_eq!(below, ["m0", "m1", "m2"].map(String::from).into(), "a relay tells who is behind it");
     let judged = good(&mut stage, 4, &|_| false);
     assert!(judged.admitted > 100, "{judged:?}");
 }
@@ -194,11 +209,12 @@
     stage.load(2, ms(5));
     sleep(ms(300));
     stage.obey(&Order::Stop("r0".into()));
-    let version = takes(&stage, 3);
+    // All stop first: who outlives the relay's lease by a moment shows.
+    let version = takes_with(&stage, 3, "together: true");
     assert!(stage.logged("m0", "out of service", 1, PATIENCE));
     sleep(ms(500));
     stage.obey(&Order::Wake("r0".into()));
-    good(&mut stage, version, &|_| false);
+    good(&mut stage, version, &|newer| newer > 1);
     assert!(lines(&stage, "r0", "no members are answered") > 0, "{:?}", told(&stage));
     let journal = stage.journal();
     let woken = journal.iter().position(|line| line["event"] == json!("woken")).expect("it was woken");
@@ -251,13 +267,14 @@
     let mut stage = stage();
     stage.load(2, ms(10));
     stage.obey(&Order::Cut(vec![names(&RELAYS[..1]), names(&KEEPERS)]));
-    let version = takes(&stage, 4);
+    // All stop first: who outlives the relay's lease by a moment shows.
+    let version = takes_with(&stage, 4, "together: true");
     assert!(stage.logged("r0", "no members are answered", 1, PATIENCE), "{:?}", told(&stage));
     assert!(stage.logged("m0", "out of service", 1, PATIENCE), "{:?}", told(&stage));
     // The other relay is there for those that know it.
     assert!(stage.serve_under(version, &ALL[1..], PATIENCE), "{:?}", told(&stage));
     stage.obey(&Order::Heal);
-    good(&mut stage, version, &|_| false);
+    good(&mut stage, version, &|newer| newer > 1);
 }
 
 #[test]
@@ -393,24 +410,27 @@
     stage.load(1, ms(10));
     let over = AtomicBool::new(false);
     let at = hears(&stage, "r0");
-    let version = std::thread::scope(|scope| {
-        scope.spawn(|| {
-            let socket = UdpSocket::bind("127.0.0.1:0").expect("a port of loopback");
-            let mut bytes = [0xC5u8; 1400];
-            for count in 0u32.. {
-                if over.load(Ordering::SeqCst) {
-                    return;
-                }
-                bytes[1] = count as u8;
-                let _ = socket.send_to(&bytes[..count as usize % bytes.len()], at);
-                if count.is_multiple_of(4) {
-                    sleep(ms(1));
-                }
+    // More than can be read: the socket is never empty. It ends where the change never does, too.
+    let until = Instant::now() + 3 * PATIENCE;
+    let floods = || {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a port of loopback");
+        let mut bytes = [0xC5u8; 200];
+        for count in 0u32.. {
+            if over.load(Ordering::SeqCst) || Instant::now() > until {
+                return;
             }
-        });
+            bytes[1] = count as u8;
+            let _ = socket.send_to(&bytes[..count as usize % bytes.len()], at);
+        }
+    };
+    let version = std::thread::scope(|scope| {
+        for _ in 0..2 {
+            scope.spawn(floods);
+        }
         let version = takes(&stage, 3);
-        all_serve(&stage, version);
+        let there = stage.all_have(version, COUNT, PATIENCE);
         over.store(true, Ordering::SeqCst);
+        assert!(there, "{:?} {:?}", stage.policy(&["status"]), told(&stage));
         version
     });
     stage.process("r0").signal("USR1");
