--- a/lab/src/scale/hollow.rs
+++ b/lab/src/scale/hollow.rs
@@ -6,6 +6,7 @@
 pub mod keeper;
 pub mod load;
 pub mod members;
+pub mod relays;
 pub mod rig;
 pub mod tier;
 
@@ -24,8 +25,9 @@
 type Part = fn(&Program, &Limits, &[u64], &mut dyn FnMut(&str)) -> Result<Vec<Row>, String>;
 
 /// The parts, by the role whose process they measure.
-const PARTS: [(&str, Part); 5] = [
+const PARTS: [(&str, Part); 6] = [
     ("keeper", keeper::rows),
+    ("relay", relays::rows),
     ("planner", tier::planner),
     ("forwarder", tier::gossip),
     ("forwarder", load::forwarder),
--- a/lab/src/scale/hollow/keeper.rs
+++ b/lab/src/scale/hollow/keeper.rs
@@ -11,15 +11,15 @@
 use std::time::{Duration, Instant};
 
 /// Length of what is measured at rest.
-const REST: Duration = Duration::from_secs(6);
+pub const REST: Duration = Duration::from_secs(6);
 /// Instances that have not begun by then are told, and nothing is measured with them.
-const JOIN: Duration = Duration::from_secs(30);
+pub const JOIN: Duration = Duration::from_secs(30);
 /// A change is followed for so long.
 const CHANGE: Duration = Duration::from_secs(20);
 /// Members among which a keeper is killed in a change.
 const KILLED_AT: u64 = 300;
 /// Bytes of memory that are reckoned for one hollow instance.
-const EACH: u64 = 16 * 1024;
+pub const EACH: u64 = 16 * 1024;
 /// Longest time that is told apart, in microseconds.
 const MICROS: u64 = 60_000_000;
 const TICK: Duration = Duration::from_millis(5);
@@ -49,7 +49,7 @@
 }
 
 /// Waits until `done`, or for so long; what it took, if it came.
-fn wait(within: Duration, mut done: impl FnMut() -> bool) -> Option<Duration> {
+pub fn wait(within: Duration, mut done: impl FnMut() -> bool) -> Option<Duration> {
     let began = Instant::now();
     while began.elapsed() < within {
         if done() {
@@ -120,7 +120,7 @@
 }
 
 /// A text of a policy that differs by `part`, of so many bytes at least.
-fn text(part: u32, least: usize) -> String {
+pub fn text(part: u32, least: usize) -> String {
     let mut text = format!(
         "lease: 2s\nwithin: 30s\npools: {{limiter: \"fixed\", pools: {{quick: {{operations: [\"lookup\"], least: 0.{part}}}}}}}\n"
     );
@@ -131,16 +131,16 @@
 }
 
 /// What a change took: ms to in force at each member that has it, from the moment at which the command was begun.
-struct Changed {
+pub struct Changed {
     times: Histogram<u64>,
-    missing: u64,
+    pub missing: u64,
     /// Members that had it once `meanwhile` was over.
     had: u64,
-    span: Duration,
+    pub span: Duration,
 }
 
 impl Changed {
-    fn rows(&self, rows: &mut Vec<Row>, size: u64, change: &str) {
+    pub fn rows(&self, rows: &mut Vec<Row>, size: u64, change: &str) {
         let ms = |micros: u64| micros as f64 / 1e3;
         let mut put = |name: &str, value: f64, unit: &str| {
             let metric = format!("{change}: {name} by members");
@@ -153,10 +153,10 @@
     }
 }
 
-/// Makes a change; `meanwhile` is called once, right after the command came back.
-fn change(
+/// Makes a change; `have` tells when each member had a version, `meanwhile` is called once, right after the command came back.
+pub fn change(
     quorum: &mut Quorum,
-    crowd: &Crowd,
+    have: &dyn Fn(u64) -> Vec<Instant>,
     size: u64,
     text: &str,
     meanwhile: impl FnOnce(&mut Quorum),
@@ -164,11 +164,11 @@
     let began = Instant::now();
     let version = quorum.propose("policy.cue", text)?;
     meanwhile(quorum);
-    let had = crowd.books.in_force(version).len() as u64;
-    wait(CHANGE.saturating_sub(began.elapsed()), || crowd.books.in_force(version).len() as u64 >= size);
-    let (span, all) = (began.elapsed(), crowd.books.in_force(version));
+    let had = have(version).len() as u64;
+    wait(CHANGE.saturating_sub(began.elapsed()), || have(version).len() as u64 >= size);
+    let (span, all) = (began.elapsed(), have(version));
     let mut times = Histogram::new_with_max(MICROS, 3).map_err(|error| error.to_string())?;
-    for at in all.values() {
+    for at in &all {
         times.saturating_record(at.duration_since(began).as_micros() as u64);
     }
     Ok(Changed { times, missing: size - all.len() as u64, had, span })
@@ -220,7 +220,7 @@
     {
         let spent: Vec<Spent> = all.iter().map(|one| Spent::of(one.1)).collect();
         let (began, before) = (Instant::now(), crowd.books.count(None));
-        let changed = change(&mut quorum, &crowd, size, &text, |_| {})?;
+        let changed = change(&mut quorum, &|version| crowd.books.had(version), size, &text, |_| {})?;
         // Whole seconds, so that the peak of a second and the writes of all that follows are in.
         sleep(Duration::from_secs(1));
         let count = crowd.books.count(None).since(&before);
@@ -290,7 +290,7 @@
     let mut quorum = Quorum::start(program)?;
     let crowd = begin(&quorum, What::Members, (size, REST), &mut Vec::new(), tell)?;
     let leader = crowd.books.leader().ok_or("no keeper has answered")?;
-    let changed = change(&mut quorum, &crowd, size, &text(2, 0), |quorum| {
+    let changed = change(&mut quorum, &|version| crowd.books.had(version), size, &text(2, 0), |quorum| {
         if let Some(keeper) = quorum.keeper(leader) {
             keeper.kill();
         }
--- a/lab/src/scale/hollow/members.rs
+++ b/lab/src/scale/hollow/members.rs
@@ -106,6 +106,10 @@
     pub fn out(&self) -> u64 {
         self.out.load(Ordering::Relaxed)
     }
+    /// The same without the members' places.
+    pub fn had(&self, version: u64) -> Vec<Instant> {
+        self.in_force(version).into_values().collect()
+    }
     /// When each member first had that version in force.
     pub fn in_force(&self, version: u64) -> HashMap<usize, Instant> {
         let mut first = HashMap::new();
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -29,7 +29,7 @@
     pub seed: u64,
 }
 
-pub const ROLES: [&str; 4] = ["app-server", "forwarder", "keeper", "planner"];
+pub const ROLES: [&str; 5] = ["app-server", "forwarder", "keeper", "planner", "relay"];
 
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
