--- a/relays/src/sim.rs
+++ b/relays/src/sim.rs
@@ -24,6 +24,8 @@
     pub members: usize,
     /// So many of them are at the keepers all the same.
     pub direct: usize,
+    /// Every second member is a program of before relays.
+    pub older: bool,
     pub rules: Rules,
     /// Time that a member takes to check a text and keep it, and a relay to keep it.
     pub check: Time,
@@ -48,6 +50,7 @@
             relays: 2,
             members: 8,
             direct: 1,
+            older: false,
             rules: Rules { lease: SECOND, patience: 8 * SECOND, ..Rules::default() },
             check: 5 * MS,
             keep: 2 * MS,
@@ -316,6 +319,7 @@
             Process::Member(process) => {
                 let mut new = Box::new(Member::new(now, &one.name, key, above));
                 new.broken = member;
+                new.older = self.setup.older && (at / 2) % 2 == 1;
                 one.kept.keys().for_each(|number| new.knows(*number));
                 *process = Some(new);
             }
--- a/relays/tests/relays.rs
+++ b/relays/tests/relays.rs
@@ -232,7 +232,8 @@
     let missing = if seed.is_multiple_of(2) { Missing::Fence } else { Missing::Wait };
     // One relay for a zone in a third of the plays, where leases below last longest without another's.
     let relays = if seed.is_multiple_of(3) { 1 } else { 2 };
-    Setup { rules: Rules { missing, ..rules() }, relays, ..Setup::default() }
+    let older = seed.is_multiple_of(5);
+    Setup { rules: Rules { missing, ..rules() }, relays, older, ..Setup::default() }
 }
 
 /// `RELAYS_SEEDS` plays more of them.
--- a/rollout/src/member.rs
+++ b/rollout/src/member.rs
@@ -76,6 +76,8 @@
     /// The lease, as it was last told or assumed: what a yes binds for.
     lease: Time,
     events: VecDeque<Event>,
+    /// It asks whom it asked before, whoever tells it of news: as programs of before did, to be played beside the others.
+    pub older: bool,
     pub broken: Broken,
 }
 
@@ -111,6 +113,7 @@
             seen: Seen::default(),
             lease: SECOND,
             events: VecDeque::new(),
+            older: false,
             broken: Broken::default(),
         }
     }
@@ -355,7 +358,9 @@
             }
             Answer::News => {
                 // Whoever tells is asked: it may wait for this member's word, also where another was asked last.
-                self.heard(from);
+                if !self.older {
+                    self.heard(from);
+                }
                 self.soon(now)
             }
             Answer::Elsewhere { leader } => {
