Every key of the settings that the start checks is tried by a table of the test's own

Need: the strict keys (config.rs check_keys, 34 rows) were tried by the 21 cases of the start only. Change: every_key_of_the_settings_is_strict has each key, whether it has to be there, and values that it does not hold; it reads the text without starting the program and names what was let through. Not in the program's table, so read as their default where they are misspelt: halt, say and depends_on of specifics.

--- a/server/tests/parsers.rs
+++ b/server/tests/parsers.rs
@@ -1,10 +1,12 @@
 //! The parsers, fed byte by byte and with bad input; bytes are written out as the protocol gives them.
 
 use cypresscleat::api::Outcome;
+use cypresscleat_server::config;
 use cypresscleat_server::frames::{self, Next};
 use cypresscleat_server::lines::{self, NextReply, Notice};
 use cypresscleat_server::pool::{Pool, SIZE};
 use cypresscleat_server::{http, log};
+use serde_json::{json, Value};
 use std::time::{Duration, Instant};
 
 #[test]
@@ -132,3 +134,82 @@
     assert_eq!(log::may_write(start + Duration::from_secs(1)), (true, 60));
     assert_eq!(log::may_write(start + Duration::from_secs(2)), (true, 0));
 }
+
+/// Every key of the settings that is read, beside those told by words of their own: whether it has to be there, and what it does
+/// not hold. A row that is missing in the table of the program, or is laxer there, is named here.
+#[test]
+fn every_key_of_the_settings_is_strict() {
+    let number = || vec![json!("5"), json!("5s"), json!([1]), json!(true), json!(-1), json!({})];
+    let above = || [number(), vec![json!(0)]].concat();
+    let part = || [number(), vec![json!(1.5)]].concat();
+    let flag = || vec![json!(1), json!("true"), json!([true])];
+    let text = || vec![json!(7), json!(""), json!(["x"]), json!(true)];
+    let list = || vec![json!({}), json!("x"), json!(3)];
+    let numbers = || vec![json!(1), json!([true, 0]), json!([0, -1]), json!(["0"])];
+    let flags = || vec![json!(true), json!([true, 1]), json!(["true"])];
+    let keys: [(&str, bool, Vec<Value>); 34] = [
+        ("categories", true, list()),
+        ("categories/1/name", true, text()),
+        ("categories/1/aim_ns", true, above()),
+        ("categories/1/deadline_ns", true, above()),
+        ("categories/1/effect", true, text()),
+        ("categories/1/worth", true, number()),
+        ("categories/1/late_worth", false, part()),
+        ("categories/1/aim_stretch", false, number()),
+        ("categories/1/memory_span_ns", false, number()),
+        ("customers", false, list()),
+        ("customers/1/name", true, text()),
+        ("customers/1/allowance_per_s", false, number()),
+        ("over_share_worth", false, part()),
+        ("counted_by", false, text()),
+        ("group_size", false, number()),
+        ("limits/retry_after", false, flag()),
+        ("limits/max_retry_after_ns", false, number()),
+        ("obligations/answer_slack_ns", true, above()),
+        ("obligations/tip_multiple", true, above()),
+        ("obligations/stop_sending_within_ns", true, number()),
+        ("obligations/cold_from", false, part()),
+        ("obligations/cold_ns", false, number()),
+        ("specifics/cores", true, above()),
+        ("specifics/memory_kb", true, above()),
+        ("specifics/blowup", true, above()),
+        ("specifics/gauges", true, list()),
+        ("specifics/upstreams", false, number()),
+        ("specifics/calls_out", false, number()),
+        ("specifics/calls_over_ns", false, number()),
+        ("specifics/stays_for_ns", false, number()),
+        ("specifics/fresh_ns", false, number()),
+        ("specifics/class_calls", false, flags()),
+        ("specifics/degraded_worth", false, numbers()),
+        ("specifics/cold", false, flag()),
+    ];
+    let mut missed = Vec::new();
+    for (path, required, wrong) in keys {
+        let named = path.replace('/', ".").replace(".1.", "[1].");
+        let reads = |value: Value| {
+            let mut all: Value =
+                serde_json::from_str(include_str!("../../examples/config.json")).expect("the example");
+            // The example lacks what is not required.
+            let (row, word) = path.rsplit_once('/').unwrap_or(("", path));
+            let row = if row.is_empty() { "/settings".to_string() } else { format!("/settings/{row}") };
+            all.pointer_mut(&row).expect("the row above it")[word] = value;
+            config::parse(&all.to_string(), None, None).map(|_| ())
+        };
+        let absent = if required { Err(format!("settings.{named} is missing")) } else { Ok(()) };
+        let found = reads(Value::Null);
+        if found != absent {
+            missed.push(format!("{path} absent: {found:?}"));
+        }
+        for value in wrong {
+            let found = reads(value.clone());
+            let told = found.as_ref().is_err_and(|what| {
+                what.starts_with(&format!("settings.{named}: expected "))
+                    && what.ends_with(&value.to_string())
+            });
+            if !told {
+                missed.push(format!("{path} {value}: {found:?}"));
+            }
+        }
+    }
+    assert!(missed.is_empty(), "{missed:#?}");
+}
