Routes: the half for cold workers goes, as nobody told of one

Need: cold_until was set to the first of all times by its only caller in service (forward/fleet.rs); a cold worker promises its places itself. Change: the field, COLD and the half go.

--- a/tier/src/routes.rs
+++ b/tier/src/routes.rs
@@ -30,8 +30,6 @@
 const OUT_MOST: Time = 60 * SECOND;
 /// Never more than this part of all.
 const OUT_PART: f64 = 0.3;
-/// One that is cold gets this part of its places.
-const COLD: f64 = 0.5;
 
 #[derive(Clone, Debug)]
 struct Worker {
@@ -47,7 +45,6 @@
     not_before: Time,
     left_out: u32,
     takes_work: bool,
-    cold_until: Time,
     /// Its place in the dense list.
     at: Option<usize>,
 }
@@ -124,8 +121,8 @@
         self.by_id.get(&id).is_some_and(|at| self.workers[*at].at.is_some())
     }
 
-    /// A worker that is here, with what may be used of it. `cold_until` for one that has just come up.
-    pub fn worker(&mut self, now: Time, id: Id, places: f64, takes_work: bool, cold_until: Time) {
+    /// A worker that is here, with what may be used of it.
+    pub fn worker(&mut self, now: Time, id: Id, places: f64, takes_work: bool, _: Time) {
         let at = match self.by_id.get(&id) {
             Some(at) => *at,
             None => {
@@ -140,7 +137,6 @@
                     not_before: Time::MIN,
                     left_out: 0,
                     takes_work: false,
-                    cold_until,
                     at: None,
                 });
                 self.by_id.insert(id, at);
@@ -153,7 +149,7 @@
             }
         };
         let worker = &mut self.workers[at];
-        (worker.places, worker.takes_work, worker.cold_until) = (places, takes_work, cold_until);
+        (worker.places, worker.takes_work) = (places, takes_work);
         self.settle(now, at);
     }
 
@@ -195,21 +191,18 @@
         }
     }
 
-    fn room(&self, now: Time, at: usize) -> bool {
+    fn room(&self, at: usize) -> bool {
         let worker = &self.workers[at];
-        let part = if worker.cold_until > now { COLD } else { 1.0 };
-        worker.at.is_some() && f64::from(worker.out) + 1.0 <= (worker.places * part).max(1.0)
+        worker.at.is_some() && f64::from(worker.out) + 1.0 <= worker.places.max(1.0)
     }
 
     /// The worker for an invocation, if any has room; not one of `not`.
-    pub fn choose(&mut self, now: Time, subject: Option<u64>, not: &[Id]) -> Option<Id> {
-        let at = subject
-            .and_then(|subject| self.by_subject(now, subject, not))
-            .or_else(|| self.by_draw(now, not))?;
+    pub fn choose(&mut self, _: Time, subject: Option<u64>, not: &[Id]) -> Option<Id> {
+        let at = subject.and_then(|subject| self.by_subject(subject, not)).or_else(|| self.by_draw(not))?;
         Some(self.workers[at].id)
     }
 
-    fn by_subject(&self, now: Time, subject: u64, not: &[Id]) -> Option<usize> {
+    fn by_subject(&self, subject: u64, not: &[Id]) -> Option<usize> {
         let mean = (self.out + 1) as f64 / self.usable.len().max(1) as f64;
         let bound = (BOUND * mean).ceil();
         let start = self.ring.partition_point(|(point, _)| *point < subject);
@@ -220,7 +213,7 @@
             }
             last = *at;
             let worker = &self.workers[*at];
-            if self.room(now, *at) && f64::from(worker.out) < bound && !not.contains(&worker.id) {
+            if self.room(*at) && f64::from(worker.out) < bound && !not.contains(&worker.id) {
                 return Some(*at);
             }
             tried += 1;
@@ -231,7 +224,7 @@
         None
     }
 
-    fn by_draw(&mut self, now: Time, not: &[Id]) -> Option<usize> {
+    fn by_draw(&mut self, not: &[Id]) -> Option<usize> {
         if self.usable.is_empty() {
             return None;
         }
@@ -242,7 +235,7 @@
             let worker = &self.workers[at];
             self.seen[self.seen_at] = worker.out;
             self.seen_at = (self.seen_at + 1) % self.seen.len();
-            if !self.room(now, at) || not.contains(&worker.id) {
+            if !self.room(at) || not.contains(&worker.id) {
                 continue;
             }
             let better = best.is_none_or(|best| {
@@ -266,7 +259,7 @@
         self.scans += 1;
         let start = self.chance.below(self.usable.len());
         let all = self.usable[start..].iter().chain(&self.usable[..start]).copied();
-        let free = all.filter(|at| self.room(now, *at) && !not.contains(&self.workers[*at].id));
+        let free = all.filter(|at| self.room(*at) && !not.contains(&self.workers[*at].id));
         free.min_by_key(|at| self.workers[*at].out)
     }
 
@@ -368,8 +361,8 @@
 }
 
 /// A plain scan over the same table, to measure against: the fastest of the coldest of all.
-pub fn scan(routes: &Routes, now: Time) -> Option<Id> {
-    let free = (0..routes.workers.len()).filter(|at| routes.room(now, *at));
+pub fn scan(routes: &Routes, _: Time) -> Option<Id> {
+    let free = (0..routes.workers.len()).filter(|at| routes.room(*at));
     let best = free.min_by(|a, b| {
         let (a, b) = (&routes.workers[*a], &routes.workers[*b]);
         a.out.cmp(&b.out).then(a.took.total_cmp(&b.took))
