--- a/examples/src/lib.rs
+++ b/examples/src/lib.rs
@@ -19,6 +19,10 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Ids of invocations, for tests that need one or two.
+pub const ONE: &str = "00000000000000a1";
+pub const TWO: &str = "00000000000000b2";
+
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
 pub fn unix_ms() -> u128 {
@@ -573,7 +577,16 @@
     pub fn start(program: &Path, config: &str, change: impl FnOnce(&mut Value)) -> Place {
         Place::start_with(program, config, "", change)
     }
-    /// The same with an operator's file, in which `LEDGER` is the address of the ledger's listener.
+    /// The same with its kernel up, warm, on its first link.
+    pub fn up(program: &Path, config: &str, change: impl FnOnce(&mut Value)) -> (Place, Kernel) {
+        let place = Place::start(program, config, change);
+        let (mut kernel, serial) = Kernel::accept(&place.kernel);
+        assert_eq!(serial, 0);
+        kernel.boot("WARM");
+        place.logged("kernel up");
+        (place, kernel)
+    }
+    /// The same as `start` with an operator's file, in which `LEDGER` is the address of the ledger's listener.
     pub fn start_with(
         program: &Path,
         config: &str,
--- a/server/tests/crossings.rs
+++ b/server/tests/crossings.rs
@@ -1,7 +1,7 @@
 //! What crosses a close, a start, a stop or a connection that rests, forced over loopback: the program is stopped while the bytes
 //! of both sides are laid out, and goes on with all of them there at once. See docs/design/crossings.md.
 
-use cypresscleat_examples::{frame, invocation, report, Kernel, Ledger, Link, Place, Router};
+use cypresscleat_examples::{frame, invocation, report, Kernel, Ledger, Link, Place, Router, ONE, TWO};
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -11,19 +11,13 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cypresscleat-server");
 const CONFIG: &str = include_str!("../../examples/config.json");
-const ONE: &str = "00000000000000a1";
-const TWO: &str = "00000000000000b2";
 
 fn place(change: impl FnOnce(&mut Value)) -> Place {
     Place::start(Path::new(PROGRAM), CONFIG, change)
 }
 
 fn up(change: impl FnOnce(&mut Value)) -> (Place, Kernel) {
-    let place = place(change);
-    let (mut kernel, _) = Kernel::accept(&place.kernel);
-    kernel.boot("WARM");
-    place.logged("kernel up");
-    (place, kernel)
+    Place::up(Path::new(PROGRAM), CONFIG, change)
 }
 
 /// A connection that has asked for its health and rests.
--- a/server/tests/sockets.rs
+++ b/server/tests/sockets.rs
@@ -1,15 +1,13 @@
 //! The program itself over loopback, between the stand-ins of `examples`: whole paths, links that break, hostile
 //! peers, limits, drain. Nothing here waits for luck: each party speaks when it has heard what it waited for.
 
-use cypresscleat_examples::{frame, invocation, report, Kernel, Ledger, Link, Place, Router};
+use cypresscleat_examples::{frame, invocation, report, Kernel, Ledger, Link, Place, Router, ONE, TWO};
 use serde_json::{json, Value};
 use std::path::Path;
 use std::process::{Command, Stdio};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cypresscleat-server");
 const CONFIG: &str = include_str!("../../examples/config.json");
-const ONE: &str = "00000000000000a1";
-const TWO: &str = "00000000000000b2";
 
 fn place(change: impl FnOnce(&mut Value)) -> Place {
     Place::start(Path::new(PROGRAM), CONFIG, change)
@@ -17,12 +15,7 @@
 
 /// A place whose kernel is up.
 fn up(change: impl FnOnce(&mut Value)) -> (Place, Kernel) {
-    let place = place(change);
-    let (mut kernel, serial) = Kernel::accept(&place.kernel);
-    assert_eq!(serial, 0);
-    kernel.boot("WARM");
-    place.logged("kernel up");
-    (place, kernel)
+    Place::up(Path::new(PROGRAM), CONFIG, change)
 }
 
 /// Sends one invocation and lets it run to its end.
