A spoilt connection is told by both its ports in the system's list

Need (read, not met): on a busy machine another connection may have the same port of loopback towards another party; its state could be taken for that of the one that the test closes. Change: the line has to name both ports.

--- a/server/tests/crossings.rs
+++ b/server/tests/crossings.rs
@@ -494,7 +494,8 @@
 /// Spoils the connection in this moment, with no turn of the event loop: comes back once the system was told of it. What it comes
 /// back with keeps it open.
 fn spoils(stream: tokio::net::TcpStream, how: Spoilt) -> Option<TcpStream> {
-    let port = stream.peer_addr().expect("an address").port();
+    let port = |address: std::io::Result<SocketAddr>| address.expect("an address").port();
+    let (port, to) = (port(stream.peer_addr()), port(stream.local_addr()));
     let mut stream = stream.into_std().expect("a socket");
     let kept = match how {
         Spoilt::Closed => {
@@ -508,11 +509,11 @@
     };
     const CLOSE_WAIT: &str = "08";
     let until = Instant::now() + Duration::from_secs(30);
-    let local = format!("0100007F:{port:04X}");
+    let (local, remote) = (format!("0100007F:{port:04X}"), format!("0100007F:{to:04X}"));
     let seen = |line: &str| {
         let words: Vec<&str> = line.split_whitespace().collect();
         let unread = |queues: &&str| !queues.ends_with(":00000000");
-        words.get(1) == Some(&local.as_str())
+        words.get(1..3) == Some(&[local.as_str(), remote.as_str()])
             && match how {
                 Spoilt::Closed => words.get(3) == Some(&CLOSE_WAIT),
                 Spoilt::Noise => words.get(4).is_some_and(unread),
