Members keep the lease they had when a relay gives them none yet

Cause: a relay that has said its yes gives those that come over from the dead one a lease of 0 until they have said yes; member.rs, held, took that for the length of its lease, and here() then cut what it still had to nothing at its own yes. Excluded: the relay's own lease (renewed), together (off). Mend: a word without a lease changes neither the lease nor its end. The test fails without it: 'its lease goes on, left: Nothing, right: Admit(0)'.

--- a/rollout/src/member.rs
+++ b/rollout/src/member.rs
@@ -413,19 +413,26 @@
                 self.yes = None;
             }
         }
-        self.lease = lease.unwrap_or(4 * self.period);
+        // A relay that has said yes, or has stopped, for all below gives one that came over from another no lease before it has done so
+        // too. Guards the lease that it had: neither this word nor its own yes ends that. May hurt nobody: it is as long as it was.
+        let bare = lease == Some(0);
+        if !bare {
+            self.lease = lease.unwrap_or(4 * self.period);
+        }
         let bound = asked + self.lease - early(self.lease);
         let until = match (lease, self.yes) {
             (None, None) => Time::MAX,
             _ => bound,
         };
         match self.in_force {
+            Some(_) if bare => {}
             Some(own) if own == version => {
                 self.until =
                     if until == Time::MAX || self.until == Time::MAX { until } else { self.until.max(until) };
             }
             // Goes over to another, or begins.
             Some(_) if ready => self.until = until,
+            None if bare => self.until = asked,
             None => self.until = until,
             // It goes on with the old one until that lease is over or the new one is here; not for good, whatever it had.
             Some(_) => self.until = self.until.min(bound),
--- a/rollout/tests/rollout.rs
+++ b/rollout/tests/rollout.rs
@@ -4,7 +4,7 @@
 use cypresscleat_quorum::Machine;
 use cypresscleat_rollout::member::May;
 use cypresscleat_rollout::policies::{Command, Missing, Outcome, Policies, Rules, Version};
-use cypresscleat_rollout::said::Answer;
+use cypresscleat_rollout::said::{Answer, Ask, Verdict};
 use cypresscleat_rollout::sim::{Play, Setup};
 use cypresscleat_rollout::watch::{Found, Seen, Watch};
 use cypresscleat_rollout::{desk, member, Time, WatchRules, MS, SECOND};
@@ -446,3 +446,37 @@
         }
     }
 }
+
+/// A relay that has said yes for all below gives one that came over from another no lease before its own yes: what it was given before
+/// goes on, also over that yes.
+#[test]
+fn a_word_without_a_lease_ends_none_that_was_given_before() {
+    let mut one = member::Member::new(0, "m", (7, 1), vec![1, 2]);
+    let number = |asks: &[(u64, Ask)]| match asks.first() {
+        Some((_, Ask::Here { number, .. })) => *number,
+        other => panic!("it asks: {other:?}"),
+    };
+    let held = |number, lease, check| Answer::Held {
+        key: (7, 1),
+        number,
+        lease: Some(lease),
+        period: SECOND / 2,
+        version: 0,
+        check,
+        pause: 0,
+    };
+    let asked = number(&one.tick(0));
+    one.hear(10, 1, held(asked, 2 * SECOND, 0));
+    assert_eq!(one.may(10), May::Admit(0));
+    let now = one.due();
+    let asked = number(&one.tick(now));
+    let fetches = one.hear(now + 10, 2, held(asked, 0, 1));
+    assert!(matches!(fetches[..], [(_, Ask::Fetch { version: 1, .. })]), "{fetches:?}");
+    let version = Some(Box::new(Version { number: 1, ..Version::default() }));
+    one.hear(now + 20, 2, Answer::Text { number: 0, version });
+    let says = one.checked(now + 30, 1, Verdict::Good);
+    assert!(matches!(says[..], [(_, Ask::Here { verdict: Some((1, Verdict::Good)), .. })]), "{says:?}");
+    one.tick(now + 40);
+    assert_eq!(one.may(now + 40), May::Admit(0), "its lease goes on");
+    assert_eq!(one.may(2 * SECOND), May::Nothing, "and ends when it would have");
+}
