Scale: callers whose connection a forwarder closes connect again, and are counted

Cause: a trial of the open-loop load ended with a broken pipe on a busy machine, and its rows with it.

The caller connects anew, as a router does; closed connections are rows of their own.

--- a/lab/src/scale/hollow/load.rs
+++ b/lab/src/scale/hollow/load.rs
@@ -84,6 +84,8 @@
     sent: u64,
     succeeded: u64,
     turned_away: u64,
+    /// Connections that the other end closed; another took the place of each.
+    closed: u64,
 }
 
 /// Reads frames until the connection ends; answers by stream.
@@ -129,21 +131,28 @@
     let began = Instant::now() + Duration::from_millis(50);
     // Streams of all connections are of one count, so that each names its time.
     let due = move |stream: u32| began + gap * stream;
-    let (mut wires, mut readers) = (Vec::new(), Vec::new());
-    for _ in 0..CALLERS {
+    let mut readers = Vec::new();
+    let mut connect = || {
         let stream = TcpStream::connect(to).map_err(wrong)?;
         stream.set_nodelay(true).map_err(wrong)?;
         let (back, took, ended) = (stream.try_clone().map_err(wrong)?, took.clone(), ended.clone());
         readers.push(spawn(move || reads(back, due, &took, &ended)));
-        wires.push(stream);
-    }
+        Ok::<TcpStream, String>(stream)
+    };
+    let mut wires = (0..CALLERS).map(|_| connect()).collect::<Result<Vec<_>, _>>()?;
+    let mut closed = 0;
     let mut late = new()?;
     for stream in 1..=many {
         sleep(due(stream).saturating_duration_since(Instant::now()));
         let txn = format!("{name:08x}{stream:08x}");
         let bytes = invocation(stream, &txn);
         late.saturating_record(due(stream).elapsed().as_micros() as u64);
-        wires[stream as usize % CALLERS].write_all(&bytes).map_err(wrong)?;
+        let wire = &mut wires[stream as usize % CALLERS];
+        if wire.write_all(&bytes).is_err() {
+            closed += 1;
+            *wire = connect()?;
+            wire.write_all(&bytes).map_err(wrong)?;
+        }
     }
     let count = |at: usize| ended[at].load(Ordering::Relaxed);
     let last = Instant::now();
@@ -155,7 +164,7 @@
     }
     readers.into_iter().for_each(|reader| drop(reader.join()));
     let took = took.lock().expect("the times").clone();
-    Ok(Found { took, late, sent: many.into(), succeeded: count(0), turned_away: count(1) })
+    Ok(Found { took, late, sent: many.into(), succeeded: count(0), turned_away: count(1), closed })
 }
 
 /// A worker asked directly, and the same through a forwarder.
@@ -226,6 +235,12 @@
             );
             put(&format!("share turned away, {name}"), found.turned_away as f64 / found.sent as f64, "share");
         }
+        put("connections that were closed on callers, direct", direct.closed as f64, "connections");
+        put(
+            "connections that were closed on callers, through a forwarder",
+            through.closed as f64,
+            "connections",
+        );
         let each = now.seconds_since(&spent) * 1e6 / through.sent.max(1) as f64;
         put("processor time of the forwarder an invocation", each, "us");
         put("descriptors of the forwarder", now.descriptors as f64, "descriptors");
