--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -174,7 +174,7 @@
         };
         rows.extend(own.into_iter().filter(|row| role.is_none_or(|role| row.role == role)));
     }
-    // hollow: rows.extend(hollow::rows(role, asked.sizes.as_deref().unwrap_or(&[]), tell)?);
+    // Hollow instances join here, with `pub mod hollow;` above: rows.extend(hollow::rows(role, asked.sizes.as_deref().unwrap_or(&[]), tell)?);
     rows.extend(sums(&rows));
     let (fits, unfitted) = fits::fits(&rows, &TARGETS);
     Ok(Report { rows, fits, seed: asked.seed, unfitted })
@@ -184,7 +184,7 @@
 fn sums(rows: &[Row]) -> Vec<Row> {
     let mut out = Vec::new();
     for (_, loss) in gossip::LOSSES {
-        let gossips = format!("gossip bytes in and out by members, {loss}");
+        let gossips = format!("gossip bytes in and out at rest by members, {loss}");
         let changes = format!("rollout bytes in and out, a change of 1 KiB each 7.2 s by members, {loss}");
         for row in rows.iter().filter(|row| row.metric == gossips) {
             let other = rows.iter().find(|other| other.metric == changes && other.size == row.size);
--- a/tier/src/membership.rs
+++ b/tier/src/membership.rs
@@ -564,6 +564,12 @@
         }
     }
 
+    /// All that it still had to tell counts as told: after all have started at once that takes minutes, and a measurement of rest need
+    /// not wait for it.
+    pub fn told(&mut self) {
+        self.rumours.clear();
+    }
+
     /// A member that starts anew under its old address knows nothing of its incarnations: it takes one past what others say.
     pub fn incarnation(&mut self, at_least: u32) {
         self.own.incarnation = self.own.incarnation.max(at_least);
