--- a/lab/src/scale/tier.rs
+++ b/lab/src/scale/tier.rs
@@ -7,6 +7,7 @@
 use cypresscleat_tier::plan::Plan;
 use cypresscleat_tier::routes::{End, Routes};
 use cypresscleat_tier::{id, Time};
+use std::time::Instant;
 
 /// Operations in a report.
 const OPERATIONS: u16 = 8;
@@ -104,11 +105,13 @@
         let mut add = |role: &str, metric: &str, value: f64, unit: &str| {
             rows.push(Row::new(role, size, &format!("{metric} by workers"), value, unit, How::Simulated));
         };
+        let began = Instant::now();
         let (mut routes, held) = heap::of(|| {
             let mut routes = Routes::new(seed);
             (0..size).for_each(|at| routes.worker(0, worker(at), 50.0, true, Time::MIN));
             routes
         });
+        add("forwarder", "table, made of none", began.elapsed().as_secs_f64() * 1e3, "ms");
         if held > 0.0 {
             add("forwarder", "table, bytes in all", held, "B");
         }
