--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -71,7 +71,7 @@
     Part {
         name: "rollout",
         roles: &["app-server", "keeper"],
-        sizes: &[30, 100, 300, 1_000],
+        sizes: &[30, 100, 300, 1_000, 3_000],
         most: 10_000,
         square: 0,
         each: 100_000,
@@ -79,7 +79,7 @@
     Part {
         name: "owners",
         roles: &["app-server", "keeper"],
-        sizes: &[30, 100, 300, 1_000],
+        sizes: &[30, 100, 300, 1_000, 3_000],
         most: 10_000,
         square: 0,
         each: 20_000,
