--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -72,7 +72,7 @@
     Part {
         name: "rollout",
         roles: &["app-server", "keeper"],
-        sizes: &[30, 100, 300, 1_000],
+        sizes: &[30, 100, 300, 1_000, 3_000],
         most: 10_000,
         square: 0,
         each: 100_000,
@@ -80,7 +80,7 @@
     Part {
         name: "owners",
         roles: &["app-server", "keeper"],
-        sizes: &[30, 100, 300, 1_000],
+        sizes: &[30, 100, 300, 1_000, 3_000],
         most: 10_000,
         square: 0,
         each: 20_000,
@@ -176,7 +176,7 @@
         rows.extend(own.into_iter().filter(|row| role.is_none_or(|role| row.role == role)));
     }
     // Needs the built program beside this one; without it the other parts stand for themselves.
-    match hollow::rows(role, asked.sizes.as_deref().unwrap_or(&[30, 100, 300, 1_000]), tell) {
+    match hollow::rows(role, asked.sizes.as_deref().unwrap_or(&[30, 100, 300, 1_000, 3_000]), tell) {
         Ok(hollow) => rows.extend(hollow),
         Err(why) => tell(&format!("hollow instances are left out: {why}")),
     }
@@ -189,7 +189,7 @@
 fn sums(rows: &[Row]) -> Vec<Row> {
     let mut out = Vec::new();
     for (_, loss) in gossip::LOSSES {
-        let gossips = format!("gossip bytes in and out by members, {loss}");
+        let gossips = format!("gossip bytes in and out at rest by members, {loss}");
         let changes = format!("rollout bytes in and out, a change of 1 KiB each 7.2 s by members, {loss}");
         for row in rows.iter().filter(|row| row.metric == gossips) {
             let other = rows.iter().find(|other| other.metric == changes && other.size == row.size);
