--- a/examples/src/lib.rs
+++ b/examples/src/lib.rs
@@ -56,6 +56,10 @@
     pub fn send(&mut self, bytes: impl AsRef<[u8]>) {
         self.stream.write_all(bytes.as_ref()).expect("to write");
     }
+    /// This side's address.
+    pub fn address(&self) -> SocketAddr {
+        self.stream.local_addr().expect("an address")
+    }
     /// Whether it could all be written before a short while was over.
     pub fn try_send(&mut self, bytes: &[u8]) -> bool {
         self.stream.set_write_timeout(Some(Duration::from_secs(2))).expect("a time-out");
