--- a/examples/src/rollout.rs
+++ b/examples/src/rollout.rs
@@ -1,5 +1,6 @@
-//! Keepers, relays by zone where they are wanted, app servers with kernel stand-ins under steady load, and changes of policy made through the command line, with faults between
-//! them. The journal is what each process did, on one monotonic clock; the callers' own books say who was answered.
+//! Keepers, relays by zone where they are wanted, app servers with kernel stand-ins under steady load, and changes of policy made through
+//! the command line, with faults between them. The journal is what each process did, on one monotonic clock; the callers' own books say
+//! who was answered.
 
 use crate::{invocation, run_cores, Kernel, Link, Router};
 use cypresscleat_faults::{chance, free_port, Disk, Net, Order, Process};
--- a/examples/src/toy.rs
+++ b/examples/src/toy.rs
@@ -8,7 +8,7 @@
 //! planners, two forwarders and three workers, and beside them three workers that stand alone; the same steady trickle goes to
 //! both. Its last line is JSON. `toy --owners --seconds 30 --seed 7 --journal FILE` starts keepers, instances that own parts of a
 //! tally and the ledger that they act on, under faults drawn from the seed; its last line is JSON too. `toy --rollout` with the same words: app servers
-//! under load, changes of policy every few seconds, faults between all.
+//! under load, changes of policy every few seconds, faults between all; with `--relays` five of the six ask two relays in place of the keepers.
 
 use clap::{value_parser, Arg, Command};
 use cypresscleat_examples::owners::{judge, Setup, Stage};
--- a/server/tests/relays.rs
+++ b/server/tests/relays.rs
@@ -264,9 +264,8 @@
     assert!(stage.all_have(version, 1, PATIENCE), "{:?}", stage.policy(&["status"]));
     let journal = stage.journal();
     let last = |event: &str, member: &str| {
-        let all =
-            journal.iter().filter(|line| line["event"] == json!(event) && line["member"] == json!(member));
-        all.last().and_then(|line| line["at_ns"].as_u64()).unwrap_or(0)
+        let of = |line: &&Value| line["event"] == json!(event) && line["member"] == json!(member);
+        journal.iter().rfind(of).and_then(|line| line["at_ns"].as_u64()).unwrap_or(0)
     };
     let out = ["m0", "m1", "m2"].map(|member| last("out_of_service", member));
     assert!(last("admitted", "m3") > out.into_iter().max().unwrap_or(0), "the one beside them serves on");
