--- a/server/src/relaying/mod.rs
+++ b/server/src/relaying/mod.rs
@@ -116,6 +116,10 @@
     };
     let below = UdpSocket::bind(set.listen).await.map_err(named)?;
     let above = UdpSocket::bind(keepers.from()).await?;
+    // Guards against the loss of the first words: a socket takes none before it is known to.
+    for socket in [&below, &above] {
+        socket.writable().await?;
+    }
     log!("relay {name} hears members at {}", below.local_addr()?);
     let clock = Steady::start();
     let key = (id(name), drawn(name));
