A member takes words from nobody but whom it asks

Need: whoever reaches a member's port could say Held, News, Text or Elsewhere under a keeper's name (a text under a number that is being fetched, News under a dead relay's name that binds the member to it). Cause: server/src/rolling/member.rs, run, never looked at where an answer came from; relaying/mod.rs, hears_above, does.

--- a/server/tests/wire.rs
+++ b/server/tests/wire.rs
@@ -5,10 +5,15 @@
 use cypresscleat_owners::{Part, Want};
 use cypresscleat_quorum::letter::{self, Letter};
 use cypresscleat_quorum::{Machine, Member};
+use cypresscleat_rollout::member::May;
 use cypresscleat_rollout::policies::{self, Policies, Version};
 use cypresscleat_rollout::said as policy;
+use cypresscleat_rollout::{id, Key, SECOND, TEXT};
 use cypresscleat_server::owning::agreed::Agreed;
 use cypresscleat_server::owning::wire::Wire;
+use cypresscleat_server::rolling::member::Task;
+use cypresscleat_server::rolling::Rollout;
+use tokio::net::UdpSocket;
 
 #[test]
 fn datagrams_are_those_of_before_and_new_ones_are_none_to_them() {
@@ -101,3 +106,55 @@
     }
     assert_eq!(known.len(), 32);
 }
+
+/// Whoever else reaches a member's socket gives it no lease, nor anything else, under a keeper's name.
+#[test]
+fn a_member_takes_no_word_from_elsewhere_than_whom_it_asks() {
+    let folder = std::env::temp_dir().join(format!("member-and-stranger-{}", std::process::id()));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let keeper = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+        let stranger = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+        let above = [("k".to_string(), keeper.local_addr().expect("an address"))];
+        let set = Rollout { folder: folder.clone(), alone: None, room: TEXT, relays: Vec::new() };
+        let task = Task::new("m", &above, &set, None, None, Box::new(|_| {})).await.expect("a socket");
+        let gate = task.gate();
+        let plays = async {
+            for (socket, may) in [(&stranger, May::Nothing), (&keeper, May::Admit(0))] {
+                let (key, number, member, _) = asking(&keeper).await;
+                let lease = 30 * SECOND;
+                let (period, version, check, pause) = (lease / 4, 0, 0, 0);
+                let answer =
+                    policy::Answer::Held { key, number, lease: Some(lease), period, version, check, pause };
+                says(socket, member, answer).await;
+                // Heard after that one, and answered by an asking.
+                says(&keeper, member, policy::Answer::News).await;
+                let mut joins = asking(&keeper).await.3;
+                // It may have asked again by itself.
+                while may != May::Nothing && joins {
+                    joins = asking(&keeper).await.3;
+                }
+                assert_eq!((joins, gate.may()), (may == May::Nothing, may));
+            }
+        };
+        tokio::select! {
+            () = task.run() => panic!("it ended"),
+            () = plays => {}
+        }
+    });
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+async fn asking(keeper: &UdpSocket) -> (Key, u32, std::net::SocketAddr, bool) {
+    let mut bytes = vec![0; letter::LONGEST];
+    let (size, by) = keeper.recv_from(&mut bytes).await.expect("an asking");
+    match letter::read::<Wire>(&bytes[..size]) {
+        Ok(Wire::PolicyAsk(policy::Ask::Here { key, number, joins, .. })) => (key, number, by, joins),
+        other => panic!("{other:?}"),
+    }
+}
+
+async fn says(by: &UdpSocket, to: std::net::SocketAddr, answer: policy::Answer) {
+    let bytes = letter::write(&Wire::PolicyAnswer { from: id("k"), answer }).expect("it is short");
+    by.send_to(&bytes, to).await.expect("it goes");
+}
