Relays and keepers: five faults found by reading, each with a test that fails without

One that began alone (`alone`) served on for good under a word with a lease of 0: member.rs, held, left an `until` without an end as it was. It now ends a lease after that word. Without: left Admit(0), right Nothing. Without: 'leases of its former life may be out'. A relay whose disk failed once refused the text for good, also where it was in force or came in force without it, and gave no leases until a restart: relay.rs, kept and settles. It fetches it again. Without: left (None, 1), right (Some(1), 2). Words of lives that were not taken in (they had left) stayed in the desk until somebody else went: desk.rs, done. Whoever reaches the port makes as many as it likes. Without, 200 such: 205 remembered, right 5. Sums that no member can have overflowed in the watch: a panic where overflow is checked, else wrong figures. They saturate.

--- a/relays/src/relay.rs
+++ b/relays/src/relay.rs
@@ -259,8 +259,9 @@
         if over {
             self.yes = None;
         }
-        self.heard |= matches!(&answer, Answer::Held { key, .. } if *key == self.up.key());
         let asks = self.up.hear(now, from, answer);
+        // Guards the wait of a new life against an answer that came too late to be taken: it tells nothing of what is in force.
+        self.heard |= self.up.joined();
         self.settles(now, asks, Out::default())
     }
 
@@ -275,7 +276,10 @@
             (_, Ok(())) => {}
             (_, Err(why)) => {
                 self.says(format!("policy {number} can't be kept: {why}"));
-                asks = self.up.checked(now, number, Verdict::Bad(cut(&why, WHY)));
+                // What is in force can't be refused any more: it is fetched again after a while.
+                if number > self.up.told().0 {
+                    asks = self.up.checked(now, number, Verdict::Bad(cut(&why, WHY)));
+                }
             }
         }
         self.settles(now, asks, Out::default())
@@ -483,6 +487,10 @@
             asks.extend(self.up.checked(now, wanted, Verdict::Good));
             return self.settles(now, asks, out);
         }
+        // Guards a zone against a disk that failed once, as the text was proposed: it came in force without this relay.
+        if wanted != 0 && !self.texts.contains_key(&wanted) && self.up.verdict(wanted).is_some() {
+            self.up.unfound(wanted);
+        }
         self.newest = self.newest.max(check);
         let change =
             if check == self.newest && check > wanted && self.texts.contains_key(&check) { check } else { 0 };
--- a/relays/tests/properties.rs
+++ b/relays/tests/properties.rs
@@ -364,6 +364,60 @@
     assert_eq!(relay.members(), 0, "whoever is not heard is forgotten");
 }
 
+fn held(number: u32, version: u64, check: u64) -> Answer {
+    let (key, lease, period) = ((7, 1), Some(LEASE), LEASE / 4);
+    Answer::Held { key, number, lease, period, version, check, pause: 0 }
+}
+
+/// An answer that its member does not take tells nothing: not that nothing was in force when it joined, and so by which rule.
+#[test]
+fn an_answer_that_is_not_taken_ends_no_wait_of_a_new_life() {
+    let mut relay = Relay::<usize>::new(0, "r", (7, 1), vec![1], LEASE);
+    relay.tick(0);
+    relay.from_above(10, 1, held(77, 1, 0));
+    let leaves = |out: &Out<usize>| out.up.iter().any(|(_, ask)| matches!(ask, Ask::Leave { .. }));
+    assert!(!leaves(&relay.leaves(20)), "leases of its former life may be out");
+    assert!(leaves(&relay.tick(LEASE)), "no longer");
+}
+
+/// A disk that fails once: what is in force all the same is fetched and put there again.
+#[test]
+fn a_text_in_force_that_could_not_be_kept_is_fetched_again() {
+    for asked_before in [false, true] {
+        let mut relay = Relay::<usize>::new(0, "r", (7, 1), vec![1], LEASE);
+        let text = Version { number: 1, ..Version::default() };
+        let (mut now, mut fetched, mut failed, mut in_force) = (0, 0, false, None);
+        while now < 60 * SECOND && in_force != Some(1) {
+            let mut outs = vec![relay.tick(now)];
+            while let Some(out) = outs.pop() {
+                for (_, ask) in out.up {
+                    match ask {
+                        // First it is proposed, then taken without this relay, or it is in force from the beginning.
+                        Ask::Here { number, .. } if asked_before && !failed => {
+                            outs.push(relay.from_above(now, 1, held(number, 0, 1)));
+                        }
+                        Ask::Here { number, .. } => outs.push(relay.from_above(now, 1, held(number, 1, 0))),
+                        Ask::Fetch { version: 1, number } => {
+                            fetched += 1;
+                            let version = Some(Box::new(text.clone()));
+                            outs.push(relay.from_above(now, 1, Answer::Text { number, version }));
+                        }
+                        _ => {}
+                    }
+                }
+                for version in out.keep {
+                    let how = if failed { Ok(()) } else { Err("the disk is behind".to_string()) };
+                    failed = true;
+                    outs.push(relay.kept(now, version.number, how));
+                }
+            }
+            in_force = relay.in_force();
+            now += 10 * MS;
+        }
+        assert_eq!((in_force, fetched), (Some(1), 2), "proposed before: {asked_before}");
+    }
+}
+
 fn broken(missing: Missing, broken: Broken, cases: u32) -> Result<(), String> {
     let mut runner = TestRunner::new(Config { cases, failure_persistence: None, ..Config::default() });
     let result = runner.run(&proptest::collection::vec(op(), 1..120), |ops| {
--- a/rollout/src/desk.rs
+++ b/rollout/src/desk.rs
@@ -144,6 +144,11 @@
         self.log.drain(..)
     }
 
+    /// Lives whose last word is remembered.
+    pub fn remembered(&self) -> usize {
+        self.heard.len()
+    }
+
     /// When it has to look again, at the latest.
     pub fn due(&self) -> Time {
         match self.to_tell.is_empty() {
@@ -497,6 +502,9 @@
                     self.renews(key, now);
                     // It is told to ask: its answer has to be one to a member's asking.
                     self.to_tell.push_back(key);
+                } else {
+                    // Guards against words of those that were not taken in: nobody's end would have them forgotten.
+                    self.heard.remove(&key);
                 }
             }
             For::Ask { from, number } => said.push((
--- a/rollout/src/member.rs
+++ b/rollout/src/member.rs
@@ -155,6 +155,10 @@
     pub fn in_force(&self) -> Option<u64> {
         self.in_force
     }
+    /// It has taken a word on what holds since it joined.
+    pub fn joined(&self) -> bool {
+        !self.joins
+    }
     /// It admits nothing until a change is in force.
     pub fn paused(&self) -> bool {
         self.paused != 0
@@ -229,6 +233,11 @@
         self.checked.iter().find(|(known, _)| *known == number).map(|(_, found)| found.clone())
     }
 
+    /// What was found of a text counts no more: it is fetched anew where it is asked for.
+    pub fn unfound(&mut self, number: u64) {
+        self.checked.retain(|(known, _)| *known != number);
+    }
+
     fn found(&mut self, number: u64, verdict: Verdict) {
         self.checked.retain(|(known, _)| *known != number);
         self.checked.push((number, verdict));
@@ -425,6 +434,8 @@
             _ => bound,
         };
         match self.in_force {
+            // One that began alone has none, nor does anybody count it: it has an end from here on, as under any other word.
+            Some(_) if bare && self.until == Time::MAX => self.until = bound,
             Some(_) if bare => {}
             Some(own) if own == version => {
                 self.until =
--- a/rollout/src/sim.rs
+++ b/rollout/src/sim.rs
@@ -267,8 +267,12 @@
     }
 
     pub fn forget(&mut self, at: usize) {
+        self.asked_by_others(Ask::Forget { number: 2, member: 1000 + at as Id });
+    }
+
+    /// Somebody who is no member of the play asks the keeper that leads.
+    pub fn asked_by_others(&mut self, ask: Ask) {
         let to = self.world.leader().unwrap_or(0);
-        let ask = Ask::Forget { number: 2, member: 1000 + at as Id };
         self.post(self.world.weather.delay, Mail::Ask { to, from: OPERATOR, ask });
     }
 
--- a/rollout/src/watch.rs
+++ b/rollout/src/watch.rs
@@ -24,10 +24,11 @@
             milli: self.milli.saturating_sub(before.milli),
         }
     }
+    /// Guards against sums that no member can have: whoever reaches a keeper may tell them.
     fn add(&mut self, other: Seen) {
-        self.asked += other.asked;
-        self.in_time += other.in_time;
-        self.milli += other.milli;
+        self.asked = self.asked.saturating_add(other.asked);
+        self.in_time = self.in_time.saturating_add(other.in_time);
+        self.milli = self.milli.saturating_add(other.milli);
     }
     /// Answers in time, and billed value in thousandths, of each invocation asked.
     fn each(&self) -> (f64, f64) {
--- a/rollout/tests/rollout.rs
+++ b/rollout/tests/rollout.rs
@@ -480,3 +480,74 @@
     assert_eq!(one.may(now + 40), May::Admit(0), "its lease goes on");
     assert_eq!(one.may(2 * SECOND), May::Nothing, "and ends when it would have");
 }
+
+/// One that began alone has no lease that could go on: a keeper's or a relay's word without a lease is the first from which it has an end.
+#[test]
+fn one_that_began_alone_has_an_end_from_the_first_word_on() {
+    for version in [0, 1] {
+        let mut one = member::Member::new(0, "m", (7, 1), vec![1]);
+        one.tick(0);
+        one.begins_alone(0);
+        assert_eq!(one.may(100 * SECOND), May::Admit(0), "as the operator allows");
+        let now = one.due();
+        let asks = one.tick(now);
+        let Some((_, Ask::Here { number, .. })) = asks.first() else { panic!("it asks: {asks:?}") };
+        let held = Answer::Held {
+            key: (7, 1),
+            number: *number,
+            lease: Some(0),
+            period: SECOND / 2,
+            version,
+            check: 2,
+            pause: 0,
+        };
+        one.hear(now + 10, 1, held);
+        assert_eq!(one.may(now + 10), May::Admit(0), "not at once");
+        assert_eq!(one.may(now + 2 * SECOND), May::Nothing, "version {version}, and nobody counts it");
+    }
+}
+
+#[test]
+fn sums_that_no_member_can_have_stop_no_keeper() {
+    let mut watch = Watch::default();
+    for key in 0..3 {
+        watch.seen(0, (key, 1), Seen::default());
+        watch.seen(1, (key, 1), Seen { asked: u64::MAX, in_time: u64::MAX, milli: u64::MAX });
+        watch.seen(SECOND, (key, 1), Seen::default());
+        watch.seen(SECOND + 1, (key, 1), Seen { asked: u64::MAX, in_time: u64::MAX, milli: u64::MAX });
+    }
+    let rules = WatchRules { share: 200, within: 10 * SECOND };
+    let rules = Rules { watch: Some(rules), ..Rules::default() };
+    watch.in_force(2 * SECOND, &Version { number: 2, rules, ..Version::default() });
+    assert!(matches!(watch.look(12 * SECOND), Some((2, Found::Unknown(_)))));
+}
+
+#[test]
+fn words_of_lives_that_are_not_taken_in_are_not_kept() {
+    let mut play = play(Setup::default(), 1);
+    let leader = play.world.leader().expect("one leads");
+    let before = play.desks[leader].remembered();
+    let runs = |play: &mut Play, time: Time| {
+        let until = play.world.now + time;
+        play.run(until);
+    };
+    for life in 0..200 {
+        let key = (77, life);
+        let (name, verdict, seen) = ("gone".to_string(), None, Seen::default());
+        play.asked_by_others(Ask::Leave { key, number: 1 });
+        runs(&mut play, 20 * MS);
+        play.asked_by_others(Ask::Here {
+            key,
+            name,
+            joins: true,
+            number: 2,
+            verdict,
+            paused: 0,
+            has: 0,
+            seen,
+        });
+        runs(&mut play, 20 * MS);
+    }
+    runs(&mut play, SECOND);
+    assert_eq!(play.desks[leader].remembered(), before);
+}
