A member keeps what is in force however many changes are dropped after it

Cause: server/src/rolling/member.rs, checks, threw away the oldest policy past six, texts.rs, keep, the oldest file past four, the one in force among them. After six dropped changes and a lease that ended it was told InForce, found no policy and held all that came until the next version; started again with `alone` it would have begun under its own file. A text that was fetched anew beside four newer ones was removed as it was put there. Change: what is or was last in force and what is being kept are spared. Measured: the test in wire.rs fails without it: left Hold, right Admit(1).

--- a/server/src/relaying/mod.rs
+++ b/server/src/relaying/mod.rs
@@ -82,7 +82,7 @@
     let (done, kept) = channel(KEPT);
     std::thread::Builder::new().name("texts".into()).spawn(move || {
         for version in to_keep {
-            let how = keep(&folder, &version).map_err(|error| error.to_string());
+            let how = keep(&folder, &version, None).map_err(|error| error.to_string());
             if done.blocking_send((version.number, how)).is_err() {
                 return;
             }
--- a/server/src/rolling/member.rs
+++ b/server/src/rolling/member.rs
@@ -197,13 +197,17 @@
         let verdict = match check(&version, self.set.room, self.names.as_deref()) {
             Ok(policy) => {
                 let folder = self.set.folder.clone();
+                // What it has in force, or had last: changes that are dropped may be many.
+                let last = self.last;
                 // Not on the loop that serves: a disk may take its time.
-                let done = tokio::task::spawn_blocking(move || keep(&folder, &version)).await;
+                let done = tokio::task::spawn_blocking(move || keep(&folder, &version, last)).await;
                 match done.map_err(io::Error::other).and_then(|done| done) {
                     Ok(()) => {
                         self.policies.insert(number, policy);
                         while self.policies.len() > KEPT + 2 {
-                            let Some(old) = self.policies.keys().copied().find(|known| *known != 0) else {
+                            let spared = [Some(0), last, Some(self.member.told().0)];
+                            let mut old = self.policies.keys().copied();
+                            let Some(old) = old.find(|known| !spared.contains(&Some(*known))) else {
                                 break;
                             };
                             self.policies.remove(&old);
--- a/server/src/rolling/texts.rs
+++ b/server/src/rolling/texts.rs
@@ -22,11 +22,13 @@
     std::fs::File::open(folder)?.sync_all()
 }
 
-/// Keeps a version on the disk, before anybody is told so.
-pub fn keep(folder: &Path, version: &Version) -> io::Result<()> {
+/// Keeps a version on the disk, before anybody is told so. `spared` is not removed however many come after it, as all may be dropped.
+pub fn keep(folder: &Path, version: &Version, spared: Option<u64>) -> io::Result<()> {
     let text = serde_json::to_vec(version).map_err(io::Error::other)?;
     put(folder, &path(folder, version.number), &text)?;
-    for old in kept(folder).into_iter().rev().skip(KEPT) {
+    for old in
+        kept(folder).into_iter().rev().skip(KEPT).filter(|old| *old != version.number && Some(*old) != spared)
+    {
         let _ = std::fs::remove_file(path(folder, old));
     }
     Ok(())
--- a/server/tests/wire.rs
+++ b/server/tests/wire.rs
@@ -12,7 +12,7 @@
 use cypresscleat_server::owning::agreed::Agreed;
 use cypresscleat_server::owning::wire::Wire;
 use cypresscleat_server::rolling::member::Task;
-use cypresscleat_server::rolling::Rollout;
+use cypresscleat_server::rolling::{texts, Rollout};
 use tokio::net::UdpSocket;
 
 #[test]
@@ -158,3 +158,55 @@
     let bytes = letter::write(&Wire::PolicyAnswer { from: id("k"), answer }).expect("it is short");
     by.send_to(&bytes, to).await.expect("it goes");
 }
+
+/// What is in force outlives any number of changes that are dropped: in memory, and on the disk.
+#[test]
+fn a_member_goes_on_under_what_is_in_force_after_many_dropped_changes() {
+    let folder = std::env::temp_dir().join(format!("member-and-dropped-{}", std::process::id()));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let keeper = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+        let above = [("k".to_string(), keeper.local_addr().expect("an address"))];
+        let set = Rollout { folder: folder.clone(), alone: None, room: TEXT, relays: Vec::new() };
+        let task = Task::new("m", &above, &set, None, None, Box::new(|_| {})).await.expect("a socket");
+        let gate = task.gate();
+        let plays = async {
+            let (mut check, mut gone, mut bytes) = (0, false, vec![0; letter::LONGEST]);
+            loop {
+                let (size, member) = keeper.recv_from(&mut bytes).await.expect("an asking");
+                match letter::read::<Wire>(&bytes[..size]) {
+                    Ok(Wire::PolicyAsk(policy::Ask::Fetch { number, version })) => {
+                        let version = Some(Box::new(Version { number: version, ..Version::default() }));
+                        says(&keeper, member, policy::Answer::Text { number, version }).await;
+                    }
+                    Ok(Wire::PolicyAsk(policy::Ask::Here { key, number, joins, verdict, has, .. })) => {
+                        if gone && has == 1 {
+                            break;
+                        }
+                        if (check == 0 && has == 1) || verdict == Some((check, policy::Verdict::Good)) {
+                            check = if check == 0 { 2 } else { check + 1 };
+                        }
+                        if check > 12 && !joins {
+                            gone = true;
+                            says(&keeper, member, policy::Answer::Gone { key }).await;
+                            continue;
+                        }
+                        let (lease, period, check) = (Some(30 * SECOND), SECOND / 10, check.min(12));
+                        let answer =
+                            policy::Answer::Held { key, number, lease, period, version: 1, check, pause: 0 };
+                        says(&keeper, member, answer).await;
+                    }
+                    other => panic!("{other:?}"),
+                }
+            }
+            assert_eq!(gate.may(), May::Admit(1), "taken in anew");
+            assert!(texts::kept(&folder).contains(&1), "{:?}", texts::kept(&folder));
+        };
+        tokio::select! {
+            () = task.run() => panic!("it ended"),
+            () = plays => {}
+            () = tokio::time::sleep(std::time::Duration::from_secs(20)) => panic!("it never came in force again"),
+        }
+    });
+    let _ = std::fs::remove_dir_all(folder);
+}
