--- /dev/null
+++ b/lab/tests/hollow.rs
@@ -0,0 +1,150 @@
+//! What one hollow instance sends and hears does not grow with the number of those beside it. Messages and bytes are counted; nothing is
+//! judged by time.
+
+use cypresscleat_lab::scale::hollow::rig::{Limits, Program};
+use cypresscleat_lab::scale::hollow::{keeper, tier};
+use cypresscleat_lab::scale::row::{How, Row};
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::Duration;
+
+const SIZES: [u64; 3] = [5, 10, 20];
+const REST: Duration = Duration::from_millis(1_500);
+/// Renewals, and reports, of one instance in a second, by its lease and by the grants' time.
+const RENEWALS: f64 = 2.0;
+/// Room for what a span's edges cut, and for numbers in a letter that grow by a byte. From the least size to the largest there are four
+/// times as many: an item or a message for each of the others would make far more of it.
+const MORE: f64 = 1.35;
+/// A machine that holds instances up makes them ask again. It does not do so each time; what grows with the members does.
+const TRIES: usize = 3;
+
+/// The program, beside this test; built where only this crate was.
+fn program() -> Program {
+    let own = std::env::current_exe().expect("a path");
+    let folder = own.ancestors().nth(2).expect("the folder of the profile");
+    let path: PathBuf = folder.join("cypresscleat-server");
+    if !path.is_file() {
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "-p", "cypresscleat-server", "--bin", "cypresscleat-server"]);
+        if folder.ends_with("release") {
+            build.arg("--release");
+        }
+        assert!(build.status().expect("to build").success());
+    }
+    Program { path }
+}
+
+fn value(rows: &[Row], role: &str, size: u64, metric: &str) -> f64 {
+    let found = rows.iter().find(|row| row.role == role && row.size == size && row.metric == metric);
+    found.unwrap_or_else(|| panic!("no {metric:?} of {role} at {size} in {rows:#?}")).value
+}
+
+/// All sizes at once.
+fn at_all_sizes(measure: impl Fn(&Program, u64, &mut Vec<Row>) -> Result<(), String> + Sync) -> Vec<Row> {
+    let (program, measure) = (program(), &measure);
+    std::thread::scope(|scope| {
+        let run = |size: u64| {
+            let program = &program;
+            scope.spawn(move || {
+                let mut rows = Vec::new();
+                measure(program, size, &mut rows).expect("figures");
+                rows
+            })
+        };
+        let all: Vec<_> = SIZES.map(run).into_iter().collect();
+        all.into_iter().flat_map(|one| one.join().expect("its rows")).collect()
+    })
+}
+
+/// Measures until what is judged is good, so many times at the most; the last word counts.
+fn holds(measure: impl Fn() -> Vec<Row>, judge: impl Fn(&[Row]) -> Result<(), String>) {
+    for left in (0..TRIES).rev() {
+        match judge(&measure()) {
+            Ok(()) => return,
+            Err(what) if left == 0 => panic!("{what}"),
+            Err(what) => println!("measured again: {what}"),
+        }
+    }
+}
+
+/// The size of a message does not grow with the instances, nor do the messages of one of them, by the role's rows of both.
+fn stays(rows: &[Row], role: &str, (messages, bytes): (&str, &str), each: bool) -> Result<(), String> {
+    let size_of = |size| value(rows, role, size, bytes) / value(rows, role, size, messages);
+    let (least, sizes) = (size_of(SIZES[0]), SIZES.map(size_of));
+    if !least.is_finite() || sizes.iter().any(|one| *one > least * MORE) {
+        return Err(format!("bytes a message, {bytes}: {sizes:?} at {SIZES:?}"));
+    }
+    let rates = SIZES.map(|size| value(rows, role, size, messages) / if each { 1.0 } else { size as f64 });
+    match rates.iter().all(|one| *one > 0.0 && *one <= RENEWALS * MORE) {
+        true => Ok(()),
+        false => Err(format!("{messages}, of one: {rates:?} at {SIZES:?}")),
+    }
+}
+
+#[test]
+fn what_a_member_says_and_hears_does_not_grow_with_the_members() {
+    let measure = || {
+        at_all_sizes(|program, size, rows| {
+            keeper::members(program, size, REST, rows, &mut |_| {})?;
+            keeper::owners(program, size, REST, rows, &mut |_| {})
+        })
+    };
+    holds(measure, |rows| {
+        for (of, by) in [("rollout", "members"), ("owners", "sessions")] {
+            for way in ["out", "in"] {
+                let metric = |what: &str| format!("{of} at rest {what} {way} by {by}");
+                let (messages, bytes) = (metric("messages"), metric("payload bytes"));
+                stays(rows, "app-server", (&messages, &bytes), true)?;
+            }
+        }
+        for change in ["change of 0.1 KiB", "change of 16 KiB"] {
+            // The text once, and messages that are short, few in a second: by the time that it took.
+            let text = if change.ends_with("16 KiB") { 16_384.0 } else { 0.0 };
+            for size in SIZES {
+                let own =
+                    |what: &str| value(rows, "app-server", size, &format!("{change}: {what} by members"));
+                assert_eq!(own("not in force in 20 s"), 0.0, "{change} at {size}");
+                let messages = own("messages out and in, renewals among them");
+                let bytes = own("payload bytes out and in, renewals among them");
+                if messages > 60.0 || bytes > text + 100.0 * messages {
+                    return Err(format!("{change} at {size}: {messages} messages, {bytes} bytes a member"));
+                }
+            }
+        }
+        assert!(rows.iter().all(|row| row.how == How::Hollow && row.value.is_finite()));
+        Ok(())
+    });
+}
+
+#[test]
+fn what_a_forwarder_reports_goes_by_the_workers_and_not_by_the_forwarders() {
+    let measure =
+        || at_all_sizes(|program, size, rows| tier::plans(program, (size, 100), REST, rows, &mut |_| {}));
+    holds(measure, |rows| {
+        for way in ["in", "out"] {
+            let metric = |what: &str| format!("reports and grants: {what} {way} by forwarders, 100 workers");
+            let (messages, bytes) = (metric("messages"), metric("payload bytes"));
+            stays(rows, "planner", (&messages, &bytes), false)?;
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn sizes_past_the_limits_are_left_out() {
+    let limits = Limits { descriptors: 1_000, memory: 1 << 20 };
+    assert!(limits.allow(700, 1, 100));
+    assert!(!limits.allow(701, 1, 100), "descriptors");
+    assert!(!limits.allow(100, 1, 1 << 20), "memory");
+    let own = Limits::read().expect("limits");
+    assert!(own.descriptors > 0 && own.memory > 1 << 20, "{own}");
+}
+
+#[test]
+fn a_program_that_is_not_there_is_named() {
+    // Beside this test there is none of that name: it stands one folder up.
+    let found = Program::find();
+    if std::env::var_os("CYPRESSCLEAT_SERVER").is_none() {
+        assert!(found.expect_err("none").contains("CYPRESSCLEAT_SERVER"));
+    }
+}
--- a/rollout/src/member.rs
+++ b/rollout/src/member.rs
@@ -50,6 +50,8 @@
     due: Time,
     period: Time,
     silent: u32,
+    /// How long the last answer took.
+    round: Time,
     led: u32,
     number: u32,
     asked: VecDeque<(u32, Time)>,
@@ -67,6 +69,8 @@
     check: u64,
     yes: Option<(u64, u32)>,
     paused: u64,
+    /// Where it speaks for others too: the last change for which all of them have stopped. None where it speaks for itself.
+    stopped: Option<u64>,
     leaves: bool,
     left: bool,
     left_by: u32,
@@ -74,6 +78,8 @@
     /// The lease, as it was last told or assumed: what a yes binds for.
     lease: Time,
     events: VecDeque<Event>,
+    /// It asks whom it asked before, whoever tells it of news: as programs of before did, to be played beside the others.
+    pub older: bool,
     pub broken: Broken,
 }
 
@@ -90,6 +96,7 @@
             due: now,
             period: SECOND / 2,
             silent: 0,
+            round: 0,
             led: 0,
             number: 0,
             asked: VecDeque::new(),
@@ -102,12 +109,14 @@
             check: 0,
             yes: None,
             paused: 0,
+            stopped: None,
             leaves: false,
             left: false,
             left_by: 0,
             seen: Seen::default(),
             lease: SECOND,
             events: VecDeque::new(),
+            older: false,
             broken: Broken::default(),
         }
     }
@@ -125,12 +134,31 @@
         }
     }
 
+    /// It speaks for others too: that it admits nothing is not said before `stopped`.
+    pub fn for_others(&mut self) {
+        self.stopped = Some(0);
+    }
+
+    /// All for whom it speaks have stopped for this change.
+    pub fn stopped(&mut self, now: Time, change: u64) -> Vec<(Id, Ask)> {
+        self.stopped = Some(change);
+        self.soon(now)
+    }
+
     pub fn key(&self) -> Key {
         self.key
     }
+    /// What it was told last: the version in force, a change to check, and one for which it admits nothing; 0 for none.
+    pub fn told(&self) -> (u64, u64, u64) {
+        (self.wanted, self.check, self.paused)
+    }
     pub fn in_force(&self) -> Option<u64> {
         self.in_force
     }
+    /// It has taken a word on what holds since it joined.
+    pub fn joined(&self) -> bool {
+        !self.joins
+    }
     /// It admits nothing until a change is in force.
     pub fn paused(&self) -> bool {
         self.paused != 0
@@ -193,17 +221,23 @@
             joins: self.joins,
             number: self.number,
             verdict,
-            paused: self.paused,
+            paused: if self.stopped.is_none_or(|all| all == self.paused) { self.paused } else { 0 },
             has: self.in_force.unwrap_or(0),
             seen: self.seen,
         };
         self.ask(ask)
     }
 
-    fn verdict(&self, number: u64) -> Option<Verdict> {
+    /// What was found of a text, where it is known.
+    pub fn verdict(&self, number: u64) -> Option<Verdict> {
         self.checked.iter().find(|(known, _)| *known == number).map(|(_, found)| found.clone())
     }
 
+    /// What was found of a text counts no more: it is fetched anew where it is asked for.
+    pub fn unfound(&mut self, number: u64) {
+        self.checked.retain(|(known, _)| *known != number);
+    }
+
     fn found(&mut self, number: u64, verdict: Verdict) {
         self.checked.retain(|(known, _)| *known != number);
         self.checked.push((number, verdict));
@@ -230,10 +264,14 @@
             out.extend(self.fetch(number));
         }
         if now >= self.due {
-            if self.silent > 0 {
+            // Each keeper twice: mostly it was the letter that was lost, and whoever leads answers soonest.
+            if self.silent > 0 && self.silent.is_multiple_of(2) {
                 self.at = (self.at + 1) % self.keepers.len().max(1);
             }
-            let wait = if self.silent < 3 { self.patience() } else { 2 * self.period };
+            // Guards a lease against letters that are lost: it does not lie back while its lease runs out. Where no keeper answers this
+            // is over with the lease, so that keepers that come back are not met by all at once for long.
+            let runs_out = self.in_force.is_some() && self.until < Time::MAX;
+            let wait = if runs_out || self.silent < 4 { self.quick() } else { 2 * self.period };
             let spread = self.chance.below((wait / 8).max(1) as u64) as Time;
             self.due = now + wait + spread;
             (self.silent, self.led) = (self.silent.saturating_add(1), 0);
@@ -242,7 +280,12 @@
         out
     }
 
-    /// Time for an answer before another keeper is asked.
+    /// Time for an answer before it is asked again: a quarter of what lies between renewals, more where answers take long.
+    fn quick(&self) -> Time {
+        (self.period / 4).max(crate::desk::TRY).max(2 * self.round).min(self.patience())
+    }
+
+    /// Time for a text before it is fetched again.
     fn patience(&self) -> Time {
         (self.period / 2).max(crate::desk::TRY)
     }
@@ -301,7 +344,7 @@
                 let asked = self.asked.iter().find(|(one, _)| *one == number).map(|(_, at)| *at);
                 let Some(asked) = asked.filter(|_| !self.leaves) else { return Vec::new() };
                 self.heard(from);
-                self.joins = false;
+                (self.joins, self.round) = (false, now - asked);
                 self.period = period;
                 self.due = asked.max(now - period) + period;
                 self.held(now, (asked, number), lease, (version, check, pause))
@@ -334,7 +377,13 @@
                 self.left = number.wrapping_sub(self.left_by) < u32::MAX / 2;
                 Vec::new()
             }
-            Answer::News => self.soon(now),
+            Answer::News => {
+                // Whoever tells is asked: it may wait for this member's word, also where another was asked last.
+                if !self.older {
+                    self.heard(from);
+                }
+                self.soon(now)
+            }
             Answer::Elsewhere { leader } => {
                 let known = self.keepers.iter().position(|keeper| *keeper == leader && leader != from);
                 let Some(at) = known.filter(|_| self.led < 2) else { return Vec::new() };
@@ -373,19 +422,28 @@
                 self.yes = None;
             }
         }
-        self.lease = lease.unwrap_or(4 * self.period);
+        // A relay that has said yes, or has stopped, for all below gives one that came over from another no lease before it has done so
+        // too. Guards the lease that it had: neither this word nor its own yes ends that. May hurt nobody: it is as long as it was.
+        let bare = lease == Some(0);
+        if !bare {
+            self.lease = lease.unwrap_or(4 * self.period);
+        }
         let bound = asked + self.lease - early(self.lease);
         let until = match (lease, self.yes) {
             (None, None) => Time::MAX,
             _ => bound,
         };
         match self.in_force {
+            // One that began alone has none, nor does anybody count it: it has an end from here on, as under any other word.
+            Some(_) if bare && self.until == Time::MAX => self.until = bound,
+            Some(_) if bare => {}
             Some(own) if own == version => {
                 self.until =
                     if until == Time::MAX || self.until == Time::MAX { until } else { self.until.max(until) };
             }
             // Goes over to another, or begins.
             Some(_) if ready => self.until = until,
+            None if bare => self.until = asked,
             None => self.until = until,
             // It goes on with the old one until that lease is over or the new one is here; not for good, whatever it had.
             Some(_) => self.until = self.until.min(bound),
