A lease on one version is none on the next, whoever gives none there

Cause: a word with a lease of 0 on a newer version whose text was here left `until` as it was (member.rs, held), and follows() went over to that version with the lease of the one before. Where that was the longer one, an instance could admit under the second for longer than its lease after a third was decided. The same where the text came after the word. Change: such a word takes nobody over; it goes on under the older one until that lease is over, or out where a change with `together` had stopped it, until a word gives it a lease. Measured: the test fails without it: left Admit(2), right Admit(1).

--- a/rollout/src/member.rs
+++ b/rollout/src/member.rs
@@ -77,6 +77,8 @@
     pub seen: Seen,
     /// The lease, as it was last told or assumed: what a yes binds for.
     lease: Time,
+    /// The last word told of `wanted` and gave no lease on it: what it has is one on the version before, for as long as that one's.
+    bare: bool,
     events: VecDeque<Event>,
     /// It asks whom it asked before, whoever tells it of news: as programs of before did, to be played beside the others.
     pub older: bool,
@@ -115,6 +117,7 @@
             left_by: 0,
             seen: Seen::default(),
             lease: SECOND,
+            bare: false,
             events: VecDeque::new(),
             older: false,
             broken: Broken::default(),
@@ -328,7 +331,9 @@
 
     /// Goes over to what the keepers want, where it can.
     fn follows(&mut self, now: Time) {
-        let ready = now < self.until && self.verdict(self.wanted) == Some(Verdict::Good);
+        // Guards the bound on mixture: a lease on one version is none on the next, which may have a shorter one.
+        let lent = self.bare && self.in_force.is_some();
+        let ready = now < self.until && self.verdict(self.wanted) == Some(Verdict::Good) && !lent;
         if ready && self.in_force != Some(self.wanted) {
             self.in_force = Some(self.wanted);
             self.events.push_back(Event::InForce { number: self.wanted });
@@ -410,8 +415,10 @@
         }
         (self.wanted, self.check) = (version, check);
         let ready = self.verdict(version) == Some(Verdict::Good);
-        if self.paused <= version && std::mem::take(&mut self.paused) != 0 && !ready {
-            // What stopped all is over, and the others go on under it: the older one may not come back, and the new one is not here.
+        self.bare = lease == Some(0);
+        if self.paused <= version && std::mem::take(&mut self.paused) != 0 && (!ready || self.bare) {
+            // What stopped all is over, and the others go on under it: the older one may not come back, and the new one is not here, or
+            // there is no lease on it yet.
             if let Some(number) = self.in_force.take() {
                 self.events.push_back(Event::Out { number });
             }
@@ -424,7 +431,7 @@
         }
         // A relay that has said yes, or has stopped, for all below gives one that came over from another no lease before it has done so
         // too. Guards the lease that it had: neither this word nor its own yes ends that. May hurt nobody: it is as long as it was.
-        let bare = lease == Some(0);
+        let bare = self.bare;
         if !bare {
             self.lease = lease.unwrap_or(4 * self.period);
         }
--- a/rollout/tests/rollout.rs
+++ b/rollout/tests/rollout.rs
@@ -551,3 +551,43 @@
     runs(&mut play, SECOND);
     assert_eq!(play.desks[leader].remembered(), before);
 }
+
+/// A lease on one version is none on the next: a word that gives none there takes nobody over to it, also once its text is here.
+#[test]
+fn a_lease_on_one_version_is_none_on_the_next() {
+    for (known, stopped) in [(true, false), (false, false), (true, true)] {
+        let mut one = member::Member::new(0, "m", (7, 1), vec![1, 2]);
+        one.knows(1);
+        if known {
+            one.knows(2);
+        }
+        let mut now = 0;
+        let mut says = |one: &mut member::Member, now: Time, lease, version, check, pause| {
+            let asks = one.tick(now);
+            let Some((_, Ask::Here { number, .. })) = asks.first() else { panic!("it asks: {asks:?}") };
+            let (key, number, lease, period) = ((7, 1), *number, Some(lease), SECOND / 4);
+            one.hear(now, 1, Answer::Held { key, number, lease, period, version, check, pause })
+        };
+        says(&mut one, now, 4 * SECOND, 1, 0, 0);
+        if stopped {
+            now = one.due();
+            says(&mut one, now, 4 * SECOND, 1, 2, 2);
+            assert_eq!(one.may(now), May::Hold);
+        }
+        // A relay that has said yes to 3: whoever has not is given no lease on 2.
+        now = one.due();
+        says(&mut one, now, 0, 2, 3, 0);
+        if !known {
+            one.checked(now, 2, Verdict::Good);
+        }
+        let old = if stopped { May::Nothing } else { May::Admit(1) };
+        assert_eq!(one.may(now), old, "known {known}, stopped {stopped}");
+        one.checked(now, 3, Verdict::Good);
+        now = one.due();
+        says(&mut one, now, SECOND, 2, 3, 0);
+        if stopped || known {
+            assert_eq!(one.may(now), May::Admit(2));
+        }
+        assert_eq!(one.may(now + SECOND), May::Nothing, "no longer than a lease on 2");
+    }
+}
