--- a/rollout/tests/rollout.rs
+++ b/rollout/tests/rollout.rs
@@ -562,7 +562,7 @@
             one.knows(2);
         }
         let mut now = 0;
-        let mut says = |one: &mut member::Member, now: Time, lease, version, check, pause| {
+        let says = |one: &mut member::Member, now: Time, lease, version, check, pause| {
             let asks = one.tick(now);
             let Some((_, Ask::Here { number, .. })) = asks.first() else { panic!("it asks: {asks:?}") };
             let (key, number, lease, period) = ((7, 1), *number, Some(lease), SECOND / 4);
