Connections: two a core may idle as long as they like

Cause: brain.rs, connections, closed each connection that rests after 10 ms wherever callers come seldom, also the only two of a server that few know, so a forwarder lost its workers' connections between two tries. Change: the gap decides past two a core; below, 30 s. Two tests of the server that failed by chance: one invocation in use was due before the idle one was closed (2.8 of 3 s; 60 s now); a last log line was still in its pipe when a keeper had ended (waited for now).

--- a/server/tests/owners.rs
+++ b/server/tests/owners.rs
@@ -321,7 +321,12 @@
         assert!(Instant::now() < until, "its disk never failed");
     }
     assert_eq!(breaks.ended(ms(1000)).and_then(|status| status.code()), Some(1), "{:?}", breaks.log().last());
-    assert!(breaks.log().iter().any(|line| line.1.contains("as the test asks for")), "{:?}", breaks.log());
+    // Its last line may still be on its way through the pipe when it has ended.
+    let until = Instant::now() + PATIENCE;
+    while !breaks.log().iter().any(|line| line.1.contains("as the test asks for")) {
+        assert!(Instant::now() < until, "{:?}", breaks.log());
+        sleep(ms(10));
+    }
     assert!(stage.progress(10, PATIENCE));
     let lines = stage.keepers[2].log().len();
     stage.obey(&Order::Start("k2".into(), Disk::Old));
--- a/server/tests/sockets.rs
+++ b/server/tests/sockets.rs
@@ -306,7 +306,9 @@
 /// The module closes idle connections while many are open: told first, then closed, and never one in use.
 #[test]
 fn idle_connections_go_at_the_word_of_the_module() {
-    let (place, mut kernel) = up(|_| {});
+    // The one in use is not to be due before the idle one is closed.
+    let (place, mut kernel) =
+        up(|all| all["settings"]["categories"][1]["deadline_ns"] = json!(60_000_000_000u64));
     let mut busy = Router::connect(place.server);
     busy.0.send(invocation(1, ONE, "lookup", b"ask"));
     kernel.expect("SCHED", ONE);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -107,6 +107,8 @@
 /// Connections: one that idles this long takes about as much of the cores by its room in the table as a new
 /// one costs (neither is told); bounds of the idle time, its fall at each advert, the change that is told.
 const IDLE_EVEN: f64 = 50_000.0;
+/// So many a core may idle as long as they like: a server that few know is not to make each of them connect anew.
+const LINKS: f64 = 2.0;
 const IDLE_LEAST: f64 = 100.0;
 const IDLE_MOST: f64 = 300_000.0;
 const IDLE_STEP: f64 = 1.2;
@@ -241,6 +243,7 @@
     advert_at: Time,
     out_most: f64,
     idle: f64,
+    idle_told: f64,
     busy: f64,
     doors: f64,
     rate: f64,
@@ -1075,9 +1078,12 @@
         let weighs = if back { (self.busy / IDLING).clamp(0.1, 1.0).powi(4) } else { 1.0 };
         let even = (IDLE_EVEN * IDLE_EVEN * self.rate / self.callers / weighs).clamp(IDLE_LEAST, IDLE_MOST);
         let storm = self.doors > DOORS && self.busy > BUSY;
-        let idle = if storm { IDLE_MOST } else { even.max(self.idle / IDLE_STEP) };
-        if idle.max(self.idle) > idle.min(self.idle) * IDLE_TOLD {
-            self.idle = idle;
+        // So few take next to nothing and keep nobody out: a caller that comes back finds its own.
+        let few = gauges.links.is_none_or(|links| links <= self.cores * LINKS);
+        self.idle = if storm { IDLE_MOST } else { even.max(self.idle / IDLE_STEP) };
+        let idle = if few { IDLE_MOST } else { self.idle };
+        if idle.max(self.idle_told) > idle.min(self.idle_told) * IDLE_TOLD {
+            self.idle_told = idle;
             host.close_idle(idle as Time);
         }
     }
