--- a/src/brain.rs
+++ b/src/brain.rs
@@ -107,7 +107,8 @@
 /// Connections: one that idles this long takes about as much of the cores by its room in the table as a new
 /// one costs (neither is told); bounds of the idle time, its fall at each advert, the change that is told.
 const IDLE_EVEN: f64 = 50_000.0;
-/// So many a core may idle as long as they like: a server that few know is not to make each of them connect anew.
+/// So many a core may idle as long as they like: a server that few know is not to make each of them connect
+/// anew.
 const LINKS: f64 = 2.0;
 const IDLE_LEAST: f64 = 100.0;
 const IDLE_MOST: f64 = 300_000.0;
