--- a/lab/tests/pools.rs
+++ b/lab/tests/pools.rs
@@ -14,7 +14,7 @@
 
 /// What the module of 0d9049f asked for on these days without pools: digests of every wish with its time, recorded from its src/brain.rs
 /// under this same driver. Those of c6a67d9, before there were pools, stood here until the module's own decisions changed; with the module
-/// of dceb154 on the tree of 0d9049f they still held, so neither the driver nor the pools moved anything.
+/// of dceb154 put into the tree of 2585bcd they still held, so neither the driver nor the pools moved anything.
 const BEFORE: [u64; 11] = [
     6274479465246210350,
     3086874738396260364,
