Rig: the bytes of a request are written in one place

Found on reading the change once more: the encoding of a request's fields stood three times (examples, standing.rs, the load of scale). examples::request serves all.

--- a/examples/src/lib.rs
+++ b/examples/src/lib.rs
@@ -166,6 +166,11 @@
         ("ram", "24.5"),
         ("standing", "0.5"),
     ];
+    request(stream, &fields, body)
+}
+
+/// A request as the protocol lists its fields, in the order given, on a stream.
+pub fn request(stream: u32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut payload = vec![fields.len() as u8];
     for (name, value) in fields {
         payload.push(name.len() as u8);
--- a/lab/src/scale/hollow/load.rs
+++ b/lab/src/scale/hollow/load.rs
@@ -4,7 +4,7 @@
 use super::rig::{Limits, Program, Quorum, Spent};
 use super::{guarded, told, CONFIG};
 use crate::scale::row::{How, Row};
-use cypresscleat_examples::{frame, unix_ms, Kernel, Place, Router};
+use cypresscleat_examples::{request, unix_ms, Kernel, Place, Router};
 use hdrhistogram::Histogram;
 use serde_json::json;
 use std::io::{Read, Write};
@@ -64,15 +64,7 @@
         ("ram", "0.1"),
         ("standing", "0.5"),
     ];
-    let mut payload = vec![fields.len() as u8];
-    for (name, value) in fields {
-        payload.push(name.len() as u8);
-        payload.extend(name.as_bytes());
-        payload.extend((value.len() as u16).to_be_bytes());
-        payload.extend(value.as_bytes());
-    }
-    payload.extend(BODY);
-    frame(2, stream, &payload)
+    request(stream, &fields, &BODY)
 }
 
 /// What callers found.
--- a/server/tests/standing.rs
+++ b/server/tests/standing.rs
@@ -2,7 +2,7 @@
 //! answers, a roster's whole list, a kill right behind `accept`, requests in all their forms and cuts, clients that write slowly.
 //! See docs/design/crossings.md.
 
-use cypresscleat_examples::{frame, report, unix_ms, Kernel, Ledger, Link, Place, Router};
+use cypresscleat_examples::{frame, report, request, unix_ms, Kernel, Ledger, Link, Place, Router};
 use cypresscleat_faults::free_port;
 use serde_json::{json, Value};
 use std::io::Write;
@@ -68,19 +68,6 @@
     while !std::fs::read_to_string(&status).is_ok_and(|text| text.contains(") T ")) {}
 }
 
-/// The request as the protocol lists its fields, in the order given, on a stream.
-fn request(stream: u32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    let mut payload = vec![fields.len() as u8];
-    for (name, value) in fields {
-        payload.push(name.len() as u8);
-        payload.extend(name.as_bytes());
-        payload.extend((value.len() as u16).to_be_bytes());
-        payload.extend(value.as_bytes());
-    }
-    payload.extend(body);
-    frame(2, stream, &payload)
-}
-
 /// An ordinary one, with a token where it has one.
 fn asks(stream: u32, txn: &str, operation: &str, token: Option<&str>) -> Vec<u8> {
     let door = unix_ms().to_string();
