Relay: the vote has one owner, so a late response brings no second vote

Change: the relay reads RolloutMember::vote; a response to a forgotten heartbeat renews nothing, but that the change of the vote was aborted is final and ends it; a late response that names an older change replaces no newer vote.

Before: a_late_response_to_the_vote_brings_no_second_vote_over_leases_below failed (Fence, at Time(680): "yes to 2 while (0, 0) has a lease and said yes to 0"). Tests of rollout, rollout-relay and the server's relays and rollout pass.

--- a/crates/rollout-relay/src/relay.rs
+++ b/crates/rollout-relay/src/relay.rs
@@ -118,8 +118,6 @@
     /// The change that members are asked about, and those with a lease that may not have said yes yet.
     change: u64,
     without: BTreeSet<MemberKey>,
-    /// Its own yes, and the number of the asking that said it first; until that change is over.
-    yes: Option<(u64, u32)>,
     refused: u64,
     /// The change for which all are to stop, those that may not have, and the last for which all had.
     pause: u64,
@@ -159,7 +157,6 @@
             newest: 0,
             change: 0,
             without: BTreeSet::new(),
-            yes: None,
             refused: 0,
             pause: 0,
             going: BTreeSet::new(),
@@ -253,16 +250,6 @@
 
     /// A keeper's word.
     pub fn from_above(&mut self, now: Time, from: NodeId, answer: Response) -> Out<A> {
-        let over = match &answer {
-            Response::Renewed { key, number, check, .. } if *key == self.up.key() => {
-                // The change was over at a moment after the yes was said.
-                self.yes.is_some_and(|(of, since)| *check != of && number.wrapping_sub(since) < u32::MAX / 2)
-            }
-            _ => false,
-        };
-        if over {
-            self.yes = None;
-        }
         let asks = self.up.handle(now, from, answer);
         // Guards the wait of a new life against an answer that came too late to be taken: it tells nothing of what is in force.
         self.heard |= self.up.has_joined();
@@ -431,7 +418,7 @@
         if lease <= 0 {
             return None;
         }
-        let yes = self.yes.is_none_or(|(of, _)| of <= number || one.good >= of || self.broken.to_all);
+        let yes = self.up.vote().is_none_or(|of| of <= number || one.good >= of || self.broken.to_all);
         let stopped = self.stopped <= number || one.paused >= self.stopped || self.broken.to_all;
         Some(if yes && stopped { lease } else { 0 })
     }
@@ -529,17 +516,7 @@
             };
             self.going = self.below.iter().filter_map(goes).collect();
         }
-        if self.yes.is_some_and(|(of, _)| of <= wanted) {
-            self.yes = None;
-        }
         asks.extend(self.speaks(now));
-        for (_, ask) in &asks {
-            if let Request::Heartbeat { number, verdict: Some((of, Verdict::Prepared)), .. } = ask {
-                if *of > wanted && self.yes.is_none_or(|yes| yes.0 < *of) {
-                    self.yes = Some((*of, *number));
-                }
-            }
-        }
         let stands = (self.up.active().unwrap_or(0), self.change, self.pause);
         if stands != self.told {
             if stands.0 != self.told.0 || stands.1 > self.told.1 || stands.2 > self.told.2 {
--- a/crates/rollout-relay/tests/properties.rs
+++ b/crates/rollout-relay/tests/properties.rs
@@ -445,6 +445,55 @@
     result.map_err(|error| error.to_string())
 }
 
+fn play(missing: UnreachableMembers, steps: &[Op]) {
+    let mut harness = Harness::new(missing, Broken::default());
+    for step in steps {
+        harness.step(*step);
+        assert_eq!(harness.wrong, None, "{missing:?}, at {step:?}");
+    }
+}
+
+/// Guards against a vote that is cast again after a late response, while members that have not voted hold leases.
+#[test]
+fn a_late_response_to_the_vote_brings_no_second_vote_over_leases_below() {
+    let (yes, stopped) = (None, false);
+    let dropped_unheard = [
+        Op::Answers(false),
+        Op::Proposes(false),
+        Op::Keeps(true),
+        Op::Answers(true),
+        Op::Keeps(true),
+        Op::Time(1_670),
+        Op::Time(3_590),
+        Op::Drops,
+        Op::Answers(false),
+        Op::Asks { at: 0, yes, stopped },
+        Op::Time(680),
+    ];
+    let dropped_and_followed_by_another = [
+        Op::Answers(false),
+        Op::Keeps(true),
+        Op::Proposes(false),
+        Op::Answers(false),
+        Op::Keeps(true),
+        Op::Restarts,
+        Op::Answers(false),
+        Op::Time(2_630),
+        Op::Drops,
+        Op::Time(2_670),
+        Op::Answers(false),
+        Op::Answers(false),
+        Op::Proposes(false),
+        Op::Answers(false),
+        Op::Answers(false),
+        Op::Asks { at: 0, yes, stopped },
+    ];
+    for missing in [UnreachableMembers::Fence, UnreachableMembers::Wait] {
+        play(missing, &dropped_unheard);
+        play(missing, &dropped_and_followed_by_another);
+    }
+}
+
 /// `RELAYS_CASES` plays more of them.
 #[test]
 fn what_it_says_holds_for_all_below_in_any_order() {
--- a/crates/rollout/src/member.rs
+++ b/crates/rollout/src/member.rs
@@ -205,6 +205,11 @@
         self.active
     }
 
+    /// The change that it has voted to commit, until a response that counts has told that this change is over.
+    pub fn vote(&self) -> Option<u64> {
+        self.vote.map(|vote| vote.change)
+    }
+
     /// Whether the leader has answered a heartbeat since it asked to join.
     pub fn has_joined(&self) -> bool {
         !self.wants_to_join
@@ -361,7 +366,8 @@
         let number = self.next_request_number();
         self.pending_heartbeats.record(number, now);
         let verdict = self.verdict(self.check).filter(|_| self.check != 0);
-        if verdict == Some(Verdict::Prepared) && self.vote.is_none_or(|vote| vote.change != self.check) {
+        // An older change, which a late response named, does not replace a newer vote: that one binds until it is known to be over.
+        if verdict == Some(Verdict::Prepared) && self.vote.is_none_or(|vote| vote.change < self.check) {
             // From here on it can't know by itself that the change was aborted: its lease has an end, also where it had none.
             self.vote = Some(Vote { change: self.check, first_heartbeat: number });
             self.lease_ends_at = self.lease_ends_at.min(holder_lease_end(now, self.lease));
--- a/crates/rollout/src/member/responses.rs
+++ b/crates/rollout/src/member/responses.rs
@@ -34,18 +34,20 @@
         }
         match response {
             Response::Renewed { key, number, lease, period, version, check, pause } if key == self.key => {
-                let sent_at = self.pending_heartbeats.sent_at(number).filter(|_| !self.is_leaving);
-                let Some(sent_at) = sent_at else { return Vec::new() };
+                let renewed = Renewed { lease, version, check, pause };
+                if self.is_leaving {
+                    return Vec::new();
+                }
+                let Some(sent_at) = self.pending_heartbeats.sent_at(number) else {
+                    self.handle_forgotten_heartbeat(number, renewed);
+                    return Vec::new();
+                };
                 self.record_response(from);
                 self.wants_to_join = false;
                 self.round_trip = now - sent_at;
                 self.period = period;
                 self.next_heartbeat = sent_at.max(now - period) + period;
-                self.handle_renewed(
-                    now,
-                    AnsweredHeartbeat { number, sent_at },
-                    Renewed { lease, version, check, pause },
-                )
+                self.handle_renewed(now, AnsweredHeartbeat { number, sent_at }, renewed)
             }
             Response::MembershipExpired { key } if key == self.key && !self.is_leaving => {
                 self.handle_membership_expired(now, from)
@@ -152,6 +154,20 @@
         }
     }
 
+    /// A response so late that its heartbeat is not remembered renews nothing and tells of nothing new. That the change of its vote was
+    /// aborted, however, is final: to vote for it again would be a new vote, which those for whom this member speaks have not given.
+    fn handle_forgotten_heartbeat(&mut self, number: u32, renewed: Renewed) {
+        let Some(vote) = self.vote else { return };
+        let is_answer = (vote.first_heartbeat..=self.last_request_number).contains(&number);
+        let is_aborted = vote.change != renewed.check && vote.change > renewed.version;
+        if is_answer && is_aborted {
+            self.vote = None;
+            if self.check == vote.change {
+                self.check = 0;
+            }
+        }
+    }
+
     /// The lease counts from when the heartbeat was sent.
     ///
     /// A relay that has voted, or has stopped, for all of its members gives one that came over from another relay no lease before that
