Control messages count only from the address of the replica they name

Cause: leases/keep.rs, hold.rs and wire.rs never looked at the address of a datagram; the member and the relay each had a check of their own.

Change: leases/known_replicas.rs has the one rule for all five: a message counts from the address that is configured for its sender or was told by a known replica; others are counted, the count logged at each power of two. The links of the rig between control replicas now deliver from the address at which the receiver finds the sender, and its operator's file names the replicas' own addresses.

The member's and the relay's checks stay as strict; their tests are unchanged.

--- a/crates/demo/src/owners.rs
+++ b/crates/demo/src/owners.rs
@@ -131,6 +131,19 @@
     judged
 }
 
+/// Links between the control replicas `k0`, `k1` and so on, which receive at `own`: where each finds each, itself at its own address.
+pub fn replica_links(net: &Net, own: &[SocketAddr]) -> BTreeMap<String, Vec<SocketAddr>> {
+    let names: Vec<String> = (0..own.len()).map(|at| format!("k{at}")).collect();
+    let mut found = vec![own.to_vec(); own.len()];
+    for one in 0..own.len() {
+        for other in one + 1..own.len() {
+            let ends = ((names[one].as_str(), own[one]), (names[other].as_str(), own[other]));
+            (found[one][other], found[other][one]) = net.peers(ends.0, ends.1);
+        }
+    }
+    names.into_iter().zip(found).collect()
+}
+
 /// All of them, each with an address of its own for every other.
 pub struct Stage {
     pub net: Net,
@@ -167,10 +180,12 @@
         ));
         std::fs::create_dir_all(&folder).expect("a folder");
         let own: Vec<SocketAddr> = (0..setup.keepers).map(|_| free_port()).collect();
+        let between = replica_links(&net, &own);
         let file = |name: &str, rest: &str| {
-            let at = |keeper: usize| match format!("k{keeper}") == name {
-                true => own[keeper],
-                false => net.datagrams(name, &format!("k{keeper}"), own[keeper]),
+            let at = |keeper: usize| match between.get(name) {
+                Some(found) => found[keeper],
+                None if name == "operator" => own[keeper],
+                None => net.datagrams(name, &format!("k{keeper}"), own[keeper]),
             };
             let all: Vec<String> = (0..setup.keepers)
                 .map(|one| format!("{{name: \"k{one}\", address: \"{}\"}}", at(one)))
--- a/crates/demo/src/rollout.rs
+++ b/crates/demo/src/rollout.rs
@@ -2,6 +2,7 @@
 //! the command line, with faults between them. The journal is what each process did, on one monotonic clock; the callers' own books say
 //! who was answered.
 
+use crate::owners::replica_links;
 use crate::{invocation, run_cores, Kernel, Link, Router};
 use cypresscleat_fault_injection::{chance, free_port, Disk, Net, Order, Process};
 use serde_json::{json, Value};
@@ -72,10 +73,12 @@
         ));
         std::fs::create_dir_all(&folder).expect("a folder");
         let own: Vec<SocketAddr> = (0..setup.keepers).map(|_| free_port()).collect();
+        let between = replica_links(&net, &own);
         let keepers_of = |name: &str, rest: &str| {
-            let at = |keeper: usize| match name == format!("k{keeper}") || name == "operator" {
-                true => own[keeper],
-                false => net.datagrams(name, &format!("k{keeper}"), own[keeper]),
+            let at = |keeper: usize| match between.get(name) {
+                Some(found) => found[keeper],
+                None if name == "operator" => own[keeper],
+                None => net.datagrams(name, &format!("k{keeper}"), own[keeper]),
             };
             let all: Vec<String> = (0..setup.keepers)
                 .map(|one| format!("{{name: \"k{one}\", address: \"{}\"}}", at(one)))
@@ -101,20 +104,20 @@
         }
         keepers_of("operator", " ");
         let hear: Vec<SocketAddr> = (0..relays).map(|_| free_port()).collect();
-        let mut between = Vec::new();
+        let mut relay_processes = Vec::new();
         for (at, listen) in hear.iter().enumerate() {
             let name = format!("r{at}");
             let disk = folder.join(format!("disk-{name}"));
             let rest = format!("relay: {{listen: \"{listen}\", folder: \"{}\"}}", disk.display());
             let path = keepers_of(&name, &rest);
             let words = ["relay", "--operator", &path, "--name", &name];
-            between.push(Process::new(&name, setup.program, &words).disk(&disk));
+            relay_processes.push(Process::new(&name, setup.program, &words).disk(&disk));
         }
         let ran: Arc<Mutex<Vec<String>>> = Arc::default();
         let mut stage = Stage {
             net: net.clone(),
             keepers,
-            relays: between,
+            relays: relay_processes,
             members: Vec::new(),
             at: Vec::new(),
             faults: Vec::new(),
--- a/crates/fault-injection/src/net.rs
+++ b/crates/fault-injection/src/net.rs
@@ -25,9 +25,19 @@
 
 enum Relay {
     Datagrams(std::net::UdpSocket, String, String, SocketAddr),
+    Peers([Peer; 2]),
     Streams(std::net::TcpListener, String, String, SocketAddr),
 }
 
+/// One end of a link between parties that both receive at addresses of their own.
+struct Peer {
+    name: String,
+    /// Where it receives.
+    address: SocketAddr,
+    /// Where the other one finds it.
+    socket: std::net::UdpSocket,
+}
+
 /// The net between the parties. Ends with its last handle.
 #[derive(Clone)]
 pub struct Net {
@@ -53,6 +63,9 @@
                         Relay::Datagrams(socket, from, to, target) => {
                             tokio::spawn(datagrams(seed, links, socket, from, to, target));
                         }
+                        Relay::Peers([one, other]) => {
+                            tokio::spawn(peers(seed, links, one, other));
+                        }
                         Relay::Streams(listener, from, to, target) => {
                             tokio::spawn(streams(links, listener, from, to, target));
                         }
@@ -65,13 +78,23 @@
 
     /// The address at which `from` finds `to`, which hears datagrams at `target`.
     pub fn datagrams(&self, from: &str, to: &str, target: SocketAddr) -> SocketAddr {
-        let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port of loopback");
-        socket.set_nonblocking(true).expect("a socket");
-        let address = socket.local_addr().expect("an address");
+        let (socket, address) = datagram_socket();
         let _ = self.relays.send(Relay::Datagrams(socket, from.into(), to.into(), target));
         address
     }
 
+    /// Links two parties by the names and addresses at which they receive: where the first finds the second, and where the second
+    /// finds the first. What one sends arrives from the address at which the other finds it, as it does on a net without links.
+    pub fn peers(&self, one: (&str, SocketAddr), other: (&str, SocketAddr)) -> (SocketAddr, SocketAddr) {
+        let peer = |(name, address): (&str, SocketAddr)| {
+            let (socket, found_at) = datagram_socket();
+            (Peer { name: name.into(), address, socket }, found_at)
+        };
+        let ((one, one_at), (other, other_at)) = (peer(one), peer(other));
+        let _ = self.relays.send(Relay::Peers([one, other]));
+        (other_at, one_at)
+    }
+
     /// The same for connections. A cut holds bytes back, as a net does, and refuses new connections.
     pub fn streams(&self, from: &str, to: &str, target: SocketAddr) -> SocketAddr {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port of loopback");
@@ -119,6 +142,13 @@
     }
 }
 
+fn datagram_socket() -> (std::net::UdpSocket, SocketAddr) {
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port of loopback");
+    socket.set_nonblocking(true).expect("a socket");
+    let address = socket.local_addr().expect("an address");
+    (socket, address)
+}
+
 /// One direction of a link: counts what goes through, so that chance is that of the seed.
 struct Way {
     seed: u64,
@@ -151,6 +181,43 @@
     }
 }
 
+async fn peers(seed: u64, links: Links, one: Peer, other: Peer) {
+    let (Ok(one_socket), Ok(other_socket)) =
+        (UdpSocket::from_std(one.socket), UdpSocket::from_std(other.socket))
+    else {
+        return;
+    };
+    let (one_socket, other_socket) = (Arc::new(one_socket), Arc::new(other_socket));
+    let there = Way::new(seed, links.clone(), &one.name, &other.name);
+    let back = Way::new(seed, links, &other.name, &one.name);
+    tokio::join!(
+        one_way((other_socket.clone(), one.address), (one_socket.clone(), other.address), there),
+        one_way((one_socket, other.address), (other_socket, one.address), back),
+    );
+}
+
+/// Carries what the sender sends to `found_at` on to the receiver, out of the socket at which that one finds the sender.
+async fn one_way(
+    (found_at, sender): (Arc<UdpSocket>, SocketAddr),
+    (out, receiver): (Arc<UdpSocket>, SocketAddr),
+    mut way: Way,
+) {
+    let mut bytes = vec![0; DATAGRAM];
+    loop {
+        let Ok((size, by)) = found_at.recv_from(&mut bytes).await else { continue };
+        if by != sender {
+            continue;
+        }
+        for late in way.copies() {
+            let (out, datagram) = (out.clone(), bytes[..size].to_vec());
+            tokio::spawn(async move {
+                sleep(late).await;
+                let _ = out.send_to(&datagram, receiver).await;
+            });
+        }
+    }
+}
+
 async fn datagrams(
     seed: u64,
     links: Links,
--- a/crates/server/src/leases/hold.rs
+++ b/crates/server/src/leases/hold.rs
@@ -1,20 +1,20 @@
 //! An instance's end: its session with the keepers, on a socket of its own.
 
-use super::wire::{learns, Wire};
+use super::known_replicas::KnownReplicas;
+use super::wire::Wire;
 use super::{drawn, Keepers, Steady};
 use cypresscleat_consensus::message;
 use cypresscleat_leases::client::{LeaseClient, LeaseEvent};
 use cypresscleat_leases::messages::Request;
 use cypresscleat_leases::{node_id, Claim, NodeId, Partition, Time};
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::io;
-use std::net::SocketAddr;
 use tokio::net::UdpSocket;
 use tokio::time::{sleep_until, timeout};
 
 pub struct Hold {
     socket: UdpSocket,
-    to: HashMap<NodeId, SocketAddr>,
+    replicas: KnownReplicas,
     pub clock: Steady,
     client: LeaseClient,
     events: VecDeque<LeaseEvent>,
@@ -28,13 +28,14 @@
         let keepers = set.all.iter().map(|(name, _)| node_id(name)).collect();
         let client = LeaseClient::new(clock.now(), node_id(name), drawn(name), claims, keepers);
         let bytes = vec![0; message::MAX_DATAGRAM_BYTES + 1];
-        Ok(Hold { socket, to: set.addresses(), clock, client, events: VecDeque::new(), bytes })
+        let replicas = KnownReplicas::new(name, set.addresses());
+        Ok(Hold { socket, replicas, clock, client, events: VecDeque::new(), bytes })
     }
 
     fn post(&mut self, requests: Vec<(NodeId, Request)>) {
         for (to, request) in requests {
-            if let Some(to) = self.to.get(&to) {
-                super::send(&self.socket, *to, &Wire::Ask(request));
+            if let Some(to) = self.replicas.address(to) {
+                super::send(&self.socket, to, &Wire::Ask(request));
             }
         }
         self.events.extend(self.client.events());
@@ -81,12 +82,12 @@
             };
             let Ok((size, by)) = got else { continue }; // word of an earlier datagram that found nobody
             match message::decode::<Wire>(&self.bytes[..size]) {
-                Ok(Wire::Answer { from, answer }) => {
+                Ok(Wire::Answer { from, answer }) if self.replicas.accepts(from, by) => {
                     let now = self.clock.now();
                     let requests = self.client.handle(now, from, answer);
                     self.post(requests);
                 }
-                Ok(Wire::At { keeper, address }) if learns(&mut self.to, by, keeper, address) => {
+                Ok(Wire::At { keeper, address }) if self.replicas.learn(by, keeper, address) => {
                     self.client.add_replica(keeper);
                 }
                 _ => {}
--- a/crates/server/src/leases/keep.rs
+++ b/crates/server/src/leases/keep.rs
@@ -1,6 +1,7 @@
 //! A keeper: its datagrams, its disk, its time. What it promises is on its disk before a word of it leaves; a disk that fails ends it.
 
 use super::agreed::Agreed;
+use super::known_replicas::KnownReplicas;
 use super::wire::Wire;
 use super::{drawn, Keepers, Steady};
 use crate::journal::{monotonic, Journal};
@@ -14,7 +15,6 @@
 use cypresscleat_rollout::{coordinator as policy, messages as policies};
 use cypresscleat_store::disk::DiskDirectory;
 use cypresscleat_store::{DiskOperation, Error, Store};
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::fs::MetadataExt;
@@ -126,7 +126,7 @@
 
 struct Desked {
     socket: UdpSocket,
-    to: HashMap<NodeId, SocketAddr>,
+    replicas: KnownReplicas,
     own: NodeId,
     keeper: Replica<Agreed>,
     manager: LeaseManager<SocketAddr>,
@@ -143,8 +143,8 @@
             self.disk.write(std::mem::take(&mut out.writes))?;
             out.events.drain(..).for_each(|line| log!("{line}"));
             for (to, letter) in out.messages.drain(..) {
-                if let Some(to) = self.to.get(&to) {
-                    super::send(&self.socket, *to, &Wire::Letter(letter));
+                if let Some(to) = self.replicas.address(to) {
+                    super::send(&self.socket, to, &Wire::Letter(letter));
                 }
             }
             let from = self.own;
@@ -157,7 +157,7 @@
                 _ => None,
             });
             for (to, keeper) in elsewhere.chain(also) {
-                if let Some(address) = self.to.get(&keeper).copied() {
+                if let Some(address) = self.replicas.address(keeper) {
                     super::send(&self.socket, to, &Wire::At { keeper, address });
                 }
             }
@@ -278,7 +278,7 @@
     let disk = Kept0 { store, folder: folder.to_path_buf() };
     let mut all = Desked {
         socket: shared,
-        to: to.clone(),
+        replicas: KnownReplicas::new(&format!("keeper {name}"), to),
         own: node_id(name),
         keeper,
         manager: LeaseManager::new(set.lease),
@@ -296,8 +296,9 @@
             _ = hup.recv() => {
                 if let Some(new) = path.and_then(|path| follows(name, set, path)) {
                     *set = new;
-                    all.to = set.addresses();
-                    all.keeper.set_configured_replicas(all.to.keys().copied().collect());
+                    let addresses = set.addresses();
+                    all.keeper.set_configured_replicas(addresses.keys().copied().collect());
+                    all.replicas.configure(addresses);
                 }
             }
         }
@@ -310,7 +311,11 @@
                 Err(_) => continue, // word of an earlier datagram that found nobody
             };
             match message::decode::<Wire>(&bytes[..size]) {
-                Ok(Wire::Letter(letter)) => out = out.merge(all.keeper.step(now, &letter)),
+                Ok(Wire::Letter(letter)) => {
+                    if all.replicas.accepts(letter.from.id, from) {
+                        out = out.merge(all.keeper.step(now, &letter));
+                    }
+                }
                 Ok(Wire::PolicyAsk(ask)) => {
                     let (more, answers) = all.policy.handle(now, &mut all.keeper, from, ask);
                     out = out.merge(more);
--- a/crates/server/src/leases/mod.rs
+++ b/crates/server/src/leases/mod.rs
@@ -5,6 +5,7 @@
 pub mod ask;
 pub mod hold;
 pub mod keep;
+pub mod known_replicas;
 pub mod settle;
 pub mod sums;
 pub mod tally;
--- a/crates/server/src/leases/wire.rs
+++ b/crates/server/src/leases/wire.rs
@@ -1,5 +1,6 @@
 //! What a datagram to or from a keeper holds, and a question asked of whichever keeper leads.
 
+use super::known_replicas::KnownReplicas;
 use super::Keepers;
 use cypresscleat_consensus::message::{self, Message};
 use cypresscleat_leases::{messages, node_id, NodeId};
@@ -56,6 +57,9 @@
 const PATIENCE: Duration = Duration::from_secs(3);
 const TRY: Duration = Duration::from_millis(300);
 
+/// Whose log lines those of a command are.
+const ASKER: &str = "command";
+
 /// What an answer is to whoever asked.
 pub enum Heard<T> {
     Fits(T),
@@ -68,7 +72,7 @@
 pub struct Asker {
     socket: UdpSocket,
     /// Those of the file, and those that came later.
-    keepers: HashMap<NodeId, SocketAddr>,
+    replicas: KnownReplicas,
     order: Vec<NodeId>,
     at: usize,
     until: Instant,
@@ -79,7 +83,13 @@
         let socket = UdpSocket::bind(keepers.from())?;
         let order = keepers.all.iter().map(|(name, _)| node_id(name)).collect();
         let until = Instant::now() + PATIENCE;
-        Ok(Asker { socket, keepers: keepers.addresses(), order, at: 0, until })
+        Ok(Asker { socket, replicas: KnownReplicas::new(ASKER, keepers.addresses()), order, at: 0, until })
+    }
+
+    /// Asks whoever receives at this address, under whatever name.
+    pub fn at_address(address: SocketAddr) -> io::Result<Asker> {
+        let named = Keepers { all: vec![(String::new(), address)], lease: 0, folder: None };
+        Ok(Asker { replicas: KnownReplicas::at_address(ASKER, address), ..Asker::new(&named)? })
     }
 
     /// Its patience begins anew: for a command that looks again and again.
@@ -92,7 +102,8 @@
         let mut bytes = vec![0; message::MAX_DATAGRAM_BYTES + 1];
         let Some(datagram) = message::encode(ask) else { return Ok(None) };
         while Instant::now() < self.until {
-            let to = self.order.get(self.at % self.order.len().max(1)).and_then(|id| self.keepers.get(id));
+            let to =
+                self.order.get(self.at % self.order.len().max(1)).and_then(|id| self.replicas.address(*id));
             if let Some(to) = to {
                 let _ = self.socket.send_to(&datagram, to);
             }
@@ -103,11 +114,16 @@
             };
             let wire = match message::decode::<Wire>(&bytes[..size]) {
                 Ok(Wire::At { keeper, address }) => {
-                    if learns(&mut self.keepers, by, keeper, address) {
+                    if self.replicas.learn(by, keeper, address) {
                         self.order.push(keeper);
                     }
                     continue;
                 }
+                Ok(Wire::Answer { from, .. } | Wire::PolicyAnswer { from, .. })
+                    if !self.replicas.accepts(from, by) =>
+                {
+                    continue
+                }
                 Ok(wire) => wire,
                 Err(_) => continue,
             };
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -2,7 +2,8 @@
 //! texts on the disk, time and signals.
 
 use crate::counters::{add, counters};
-use crate::leases::wire::{learns, Wire};
+use crate::leases::known_replicas::KnownReplicas;
+use crate::leases::wire::Wire;
 use crate::leases::{self, block_on, drawn, Keepers, Steady};
 use crate::log;
 use crate::operator;
@@ -13,7 +14,7 @@
 use cypresscleat_rollout::{node_id, NodeId, Version, MAX_DOCUMENT_BYTES};
 use cypresscleat_rollout_relay::{Out, Relay as Decider};
 use cypresscleat_scheduler::Time;
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -96,7 +97,7 @@
     own: NodeId,
     below: UdpSocket,
     above: UdpSocket,
-    to: HashMap<NodeId, SocketAddr>,
+    replicas: KnownReplicas,
     clock: Steady,
     relay: Decider<SocketAddr>,
     disk: SyncSender<Version>,
@@ -138,7 +139,7 @@
         own: key.0,
         below,
         above,
-        to: keepers.addresses(),
+        replicas: KnownReplicas::new(&format!("relay {name}"), keepers.addresses()),
         clock,
         relay,
         disk,
@@ -199,9 +200,7 @@
             let Some(got) = next(&self.above, bytes) else { return };
             let Ok((size, by)) = got else { continue };
             match message::decode::<Wire>(&bytes[..size]) {
-                // Whoever else can reach this socket is no keeper by saying so. May hurt where keepers answer from another address than
-                // the one at which they hear.
-                Ok(Wire::PolicyAnswer { from, .. }) if self.to.get(&from) != Some(&by) => {
+                Ok(Wire::PolicyAnswer { from, .. }) if !self.replicas.accepts(from, by) => {
                     add(&self.counters.strangers);
                 }
                 Ok(Wire::PolicyAnswer { from, answer }) => {
@@ -209,7 +208,7 @@
                     let out = self.relay.from_above(self.clock.now(), from, answer);
                     self.carry(out);
                 }
-                Ok(Wire::At { keeper, address }) if learns(&mut self.to, by, keeper, address) => {
+                Ok(Wire::At { keeper, address }) if self.replicas.learn(by, keeper, address) => {
                     self.relay.learns(keeper);
                 }
                 Ok(Wire::At { .. }) => {}
@@ -250,9 +249,9 @@
     }
 
     fn says_up(&self, to: NodeId, ask: Request) {
-        if let Some(to) = self.to.get(&to) {
+        if let Some(to) = self.replicas.address(to) {
             add(&self.counters.up);
-            self.sends(&self.above, *to, &Wire::PolicyAsk(ask));
+            self.sends(&self.above, to, &Wire::PolicyAsk(ask));
         }
     }
 
--- a/crates/server/src/rollout/ask.rs
+++ b/crates/server/src/rollout/ask.rs
@@ -2,7 +2,6 @@
 //! change like any other.
 
 use crate::leases::wire::{Asker, Heard, Wire};
-use crate::leases::Keepers;
 use crate::operator::{self, Operator};
 use crate::rollout::read;
 use cypresscleat_rollout::messages::{MemberStatus, Request, Response, Verdict};
@@ -89,8 +88,7 @@
         if words.what != What::Status {
             return Ok(Err((BAD, "--relay goes with status only".into())));
         }
-        let all = vec![("relay".to_string(), relay)];
-        let found = status(&mut Asker::new(&Keepers { all, lease: 0, folder: None })?)?;
+        let found = status(&mut Asker::at_address(relay)?)?;
         let silent = || (NO_QUORUM, format!("no relay answers at {relay}"));
         return Ok(found.map(|found| found.shown(words.json)).ok_or_else(silent));
     }
--- a/crates/server/src/rollout/member.rs
+++ b/crates/server/src/rollout/member.rs
@@ -4,7 +4,8 @@
 use super::texts::{keep, load, put, KEPT};
 use super::{check, Policy, Rollout};
 use crate::core::Note;
-use crate::leases::wire::{learns, Wire};
+use crate::leases::known_replicas::KnownReplicas;
+use crate::leases::wire::Wire;
 use crate::leases::{self, addresses, drawn, from, Steady};
 use crate::log;
 use cypresscleat_consensus::message;
@@ -12,7 +13,7 @@
 use cypresscleat_rollout::messages::{Request, Verdict};
 use cypresscleat_rollout::{node_id, truncate, NodeId, Time, Version, MAX_REASON_BYTES};
 use cypresscleat_settings::Names;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -39,7 +40,8 @@
     queue: Option<Sender<Note>>,
     apply: Apply,
     socket: UdpSocket,
-    to: HashMap<NodeId, SocketAddr>,
+    /// Whom it asks: control replicas, or relays.
+    replicas: KnownReplicas,
     clock: Steady,
     member: RolloutMember,
     policies: BTreeMap<u64, Policy>,
@@ -69,7 +71,7 @@
             queue,
             apply,
             socket,
-            to: addresses(above),
+            replicas: KnownReplicas::new(name, addresses(above)),
             clock,
             member,
             policies: BTreeMap::from([(0, Policy::default())]),
@@ -102,8 +104,8 @@
 
     fn post(&self, asks: Vec<(NodeId, Request)>) {
         for (to, ask) in asks {
-            if let Some(to) = self.to.get(&to) {
-                leases::send(&self.socket, *to, &Wire::PolicyAsk(ask));
+            if let Some(to) = self.replicas.address(to) {
+                leases::send(&self.socket, to, &Wire::PolicyAsk(ask));
             }
         }
     }
@@ -144,17 +146,14 @@
             };
             let Ok((size, by)) = got else { continue }; // word of an earlier datagram that found nobody
             match message::decode::<Wire>(&bytes[..size]) {
-                // Whoever else can reach this socket is no keeper, nor a relay, by saying so. May hurt where one answers from another
-                // address than the one at which it hears.
-                Ok(Wire::PolicyAnswer { from, .. }) if self.to.get(&from) != Some(&by) => {}
-                Ok(Wire::PolicyAnswer { from, answer }) => {
+                Ok(Wire::PolicyAnswer { from, answer }) if self.replicas.accepts(from, by) => {
                     self.member.totals = gate.seen.get();
                     let asks = self.member.handle(self.clock.now(), from, answer);
                     self.gate.follow(&self.member);
                     self.post(asks);
                     self.events().await;
                 }
-                Ok(Wire::At { keeper, address }) if learns(&mut self.to, by, keeper, address) => {
+                Ok(Wire::At { keeper, address }) if self.replicas.learn(by, keeper, address) => {
                     self.member.add_replica(keeper);
                 }
                 _ => {}
