Control replicas that moved are found by instances with the old list

What callers saw: with the new file on the replicas and the old one on an instance, a leader that had moved was never found: the instance lost its lease and got none while that one led.

Cause: At was ignored for a replica that is known under another address, so each redirection led to the old one.

Before: a_lease_client_finds_a_leader_at_the_address_that_a_known_replica_tells failed ("it never found the leader", 20 s).

--- a/crates/server/src/leases/hold.rs
+++ b/crates/server/src/leases/hold.rs
@@ -34,7 +34,7 @@
 
     fn post(&mut self, requests: Vec<(NodeId, Request)>) {
         for (to, request) in requests {
-            if let Some(to) = self.replicas.address(to) {
+            if let Some(to) = self.replicas.next_address(to) {
                 super::send(&self.socket, to, &Wire::Ask(request));
             }
         }
--- a/crates/server/src/leases/wire.rs
+++ b/crates/server/src/leases/wire.rs
@@ -102,8 +102,8 @@
         let mut bytes = vec![0; message::MAX_DATAGRAM_BYTES + 1];
         let Some(datagram) = message::encode(ask) else { return Ok(None) };
         while Instant::now() < self.until {
-            let to =
-                self.order.get(self.at % self.order.len().max(1)).and_then(|id| self.replicas.address(*id));
+            let id = self.order.get(self.at % self.order.len().max(1)).copied();
+            let to = id.and_then(|id| self.replicas.next_address(id));
             if let Some(to) = to {
                 let _ = self.socket.send_to(&datagram, to);
             }
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -248,8 +248,8 @@
         }
     }
 
-    fn says_up(&self, to: NodeId, ask: Request) {
-        if let Some(to) = self.replicas.address(to) {
+    fn says_up(&mut self, to: NodeId, ask: Request) {
+        if let Some(to) = self.replicas.next_address(to) {
             add(&self.counters.up);
             self.sends(&self.above, to, &Wire::PolicyAsk(ask));
         }
--- a/crates/server/src/rollout/member.rs
+++ b/crates/server/src/rollout/member.rs
@@ -102,9 +102,9 @@
         self.last = text.trim().parse().ok().filter(|number| self.policies.contains_key(number));
     }
 
-    fn post(&self, asks: Vec<(NodeId, Request)>) {
+    fn post(&mut self, asks: Vec<(NodeId, Request)>) {
         for (to, ask) in asks {
-            if let Some(to) = self.replicas.address(to) {
+            if let Some(to) = self.replicas.next_address(to) {
                 leases::send(&self.socket, to, &Wire::PolicyAsk(ask));
             }
         }
--- a/crates/server/tests/strangers.rs
+++ b/crates/server/tests/strangers.rs
@@ -3,7 +3,7 @@
 use cypresscleat_consensus::message::{self, LogPosition, Message, MessageBody};
 use cypresscleat_consensus::Member;
 use cypresscleat_demo::owners::{judge, Setup, Stage};
-use cypresscleat_fault_injection::{Disk, Order};
+use cypresscleat_fault_injection::{free_port, Disk, Order};
 use cypresscleat_leases::messages::{Grant, Request, Response};
 use cypresscleat_leases::{node_id, Claim, Partition, NO_GRANT, SECOND};
 use cypresscleat_rollout::messages as policy;
@@ -176,6 +176,40 @@
     assert_eq!((judged.done_twice, judged.done_never, judged.fell), (0, 0, 0), "{judged:?}");
 }
 
+/// Guards against instances that never find a replica again which has moved, once that one leads.
+#[test]
+fn a_replica_that_moves_is_found_by_the_others_and_by_instances_with_the_old_list() {
+    let mut stage = stage();
+    let (old, moved) = (address(&stage, "k2"), free_port());
+    stage.obey(&Order::Kill("k2".into()));
+    let file = |name: &str| std::fs::read_to_string(stage.operator(name)).expect("a file");
+    let plain = file("operator").replace(&old.to_string(), &moved.to_string());
+    let folder = stage.folder().join("k2").display().to_string();
+    let own = plain.replacen("]", &format!("], folder: \"{folder}\""), 1);
+    stage.rewrite("k2", |_| own.clone());
+    let found_at = |name: &str| {
+        let text = file(name);
+        let rest = text.split("{name: \"k2\", address: \"").nth(1).expect("k2 in the list");
+        rest.split('"').next().expect("an address").to_string()
+    };
+    for name in ["k0", "k1"] {
+        let at = found_at(name);
+        stage.rewrite(name, |text| text.replace(&at, &moved.to_string()));
+    }
+    stage.rewrite("operator", |_| plain.clone());
+    for name in ["k0", "k1"] {
+        stage.process(name).signal("HUP");
+        assert!(stage.process(name).logged("one change at a time", 0, PATIENCE).is_some());
+    }
+    stage.obey(&Order::Start("k2".into(), Disk::Old));
+    assert!(stage.progress(5, PATIENCE), "{}", stage.logs());
+    // Without one of the two that stayed the other decides nothing alone. Either of them may lead then.
+    stage.obey(&Order::Kill("k1".into()));
+    assert!(stage.progress(50, PATIENCE), "{}", stage.logs());
+    let judged = judge(&stage.ledger.journal());
+    assert_eq!((judged.done_twice, judged.done_never, judged.fell), (0, 0, 0), "{judged:?}");
+}
+
 fn says(by: &UdpSocket, to: SocketAddr, word: &Wire) {
     by.send_to(&message::encode(word).expect("it is short"), to).expect("it goes");
 }
@@ -242,6 +276,40 @@
     drop(plays.join().expect("the replica's part"));
 }
 
+/// Guards against instances that never find a replica again which has moved, once that one leads.
+#[test]
+fn a_lease_client_finds_a_leader_at_the_address_that_a_known_replica_tells() {
+    let (follower, leader, mut keepers) = replica_and_stranger();
+    leader.set_read_timeout(Some(PATIENCE)).expect("a socket");
+    // Nobody receives there any more.
+    keepers.all.push(("k1".to_string(), free_port()));
+    let (address, partition) = (leader.local_addr().expect("an address"), Partition { task: TASK, index: 0 });
+    std::thread::spawn(move || loop {
+        let (_, client) = heard(&follower);
+        says(&follower, client, &Wire::At { keeper: node_id("k1"), address });
+        let answer = Response::NotLeader { leader: node_id("k1") };
+        says(&follower, client, &Wire::Answer { from: node_id("k0"), answer });
+    });
+    std::thread::spawn(move || loop {
+        let (Wire::Ask(Request::Renew { number, .. }), client) = heard(&leader) else { continue };
+        let grants = vec![Grant { partition, token: 1, cursor: Vec::new(), release_requested: false }];
+        let (session, lease, after) = (5, 4 * SECOND, NO_GRANT);
+        let answer = Response::Renewed { session, number, lease, after, grants, more: false };
+        says(&leader, client, &Wire::Answer { from: node_id("k1"), answer });
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let claims = vec![Claim { task: TASK, partitions: 1, rank: 0 }];
+        let mut hold = Hold::new("n0", &keepers, claims).await.expect("a socket");
+        let end = hold.clock.now() + 20 * SECOND;
+        assert!(hold.next(end).await.is_some(), "it never found the leader");
+        // Past the lease: it renews there.
+        let later = hold.clock.now() + 6 * SECOND;
+        assert_eq!(hold.next(later).await, None);
+        assert_eq!(hold.valid_token(partition), Some(1));
+    });
+}
+
 /// Guards against an operator who is told by a stranger that a command was decided.
 #[test]
 fn an_operators_command_takes_no_response_from_a_stranger() {
