Drain: a connection with an open request is read on

What callers saw: after SIGTERM, what they sent on a connection on which a request had been open for more than a second had no answer and was lost as the connection ended with that request's answer, up to 0.84 s after it was written.

A shut connection is not read.

Change: shut only where nothing is open and nothing stands unread. Whoever never rests is answered until the process ends.

Before: a_connection_with_an_open_request_is_read_on_in_a_drain failed (no answer on stream 2).

--- a/crates/server/src/listeners/frames.rs
+++ b/crates/server/src/listeners/frames.rs
@@ -197,7 +197,8 @@
     let mut buf = reader.kept.take().unwrap_or_else(|| front.shared.pool.take());
     let read = look(stream, buf.spare());
     let brought = reads_on(front, names, conn, reader, buf, read).await?;
-    if brought || reader.ended || peer.shut.get() || !(peer.is_idle() || peer.told.get().is_some()) {
+    // Guards what is sent while a request is open: a connection that is to be closed and not read any more would lose it.
+    if brought || reader.ended || peer.shut.get() || !peer.is_idle() {
         front.left.notify_one(); // whoever waits for its place looks for another
         return Ok(());
     }
--- a/crates/server/src/listeners/mod.rs
+++ b/crates/server/src/listeners/mod.rs
@@ -32,7 +32,8 @@
 const ROUTERS: usize = 2;
 /// One that was used this short a time ago is the last to be closed for room.
 const USED: Time = 300 * MS;
-/// A connection told to take no new invocation is closed from here after this long without one.
+/// A connection told to take no new invocation is closed from here after this long, at the first moment at which nothing is open on
+/// it. One that never rests stays until the process ends.
 const TOLD: Time = 1_000 * MS;
 /// A new connection may be silent this long before it is the first to go at the limit of descriptors.
 const NEW: Time = 100 * MS;
@@ -286,8 +287,6 @@
                     conn.half_since.set(None);
                     let what = if half { HALF } else { NOTHING };
                     peer.breach(&self.shared.counters, 0, Fault::Slow, what);
-                } else if peer.told.get().is_some_and(|at| now - at > 2 * TOLD) {
-                    peer.end(); // it goes on sending
                 } else if peer.told.get().is_some_and(|at| now - at > TOLD) {
                     conn.ask_to_close();
                 } else if idles && peer.is_idle() && peer.told.get().is_none() {
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -301,6 +301,36 @@
     }
 }
 
+/// Guards against a drain that stops reading a connection while a request is open on it: what came after was never answered, and lost
+/// when the connection ended with that request's answer.
+#[test]
+fn a_connection_with_an_open_request_is_read_on_in_a_drain() {
+    let (place, mut kernel) = up(|all| {
+        all["stop_ms"] = json!(20_000);
+        all["settings"]["obligations"]["stop_sending_within_ns"] = json!(300_000_000);
+        all["settings"]["categories"][1]["aim_ns"] = json!(30_000_000_000u64);
+        all["settings"]["categories"][1]["deadline_ns"] = json!(60_000_000_000u64);
+    });
+    let mut router = resting(place.server);
+    // It came to the machine within the grace, and is read after it: admitted.
+    let first = invocation(1, ONE, "lookup", b"ask");
+    place.signal("TERM");
+    place.logged("draining");
+    assert_eq!(router.frame().kind, 64);
+    router.0.send(first);
+    kernel.expect("SCHED", ONE);
+    // Told to send no more, it goes on: past the time at which an idle connection is closed, and past twice that.
+    for (stream, pause) in [(2, 1_300), (3, 1_000), (4, 500)] {
+        std::thread::sleep(Duration::from_millis(pause));
+        let txn = format!("{stream:016x}");
+        router.0.send(invocation(stream, &txn, "lookup", b"ask"));
+        assert_eq!(router.answer(), (stream, "throttled", Vec::new()));
+    }
+    kernel.tell("REAP", ONE, "OK", b"result");
+    assert_eq!(router.answer(), (1, "succeeded", b"result".to_vec()));
+    assert!(router.0.ended(), "it is closed once nothing is open on it");
+}
+
 /// A listener whose line is full: whoever dials it hears nothing.
 fn silent() -> (TcpListener, Vec<TcpStream>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
