Drain: a connection in use is not ended before the process is

What callers saw: one to two seconds after SIGTERM a connection on which they went on sending was ended, and what they wrote in that moment had to be sent again.

Change: the second counts from the last message. A caller that goes on is answered until the kill. README's "ends by itself once no client is connected" holds as before.

Before: a_connection_in_use_is_not_ended_in_a_drain failed (its connection ended).

--- a/crates/server/src/listeners/mod.rs
+++ b/crates/server/src/listeners/mod.rs
@@ -32,8 +32,8 @@
 const ROUTERS: usize = 2;
 /// One that was used this short a time ago is the last to be closed for room.
 const USED: Time = 300 * MS;
-/// A connection told to take no new invocation is closed from here after this long, at the first moment at which nothing is open on
-/// it. One that never rests stays until the process ends.
+/// A connection told to take no new invocation is closed from here once it has rested for this long. One that goes on sending stays
+/// until the process ends, as what it sends would cross the close.
 const TOLD: Time = 1_000 * MS;
 /// A new connection may be silent this long before it is the first to go at the limit of descriptors.
 const NEW: Time = 100 * MS;
@@ -287,7 +287,7 @@
                     conn.half_since.set(None);
                     let what = if half { HALF } else { NOTHING };
                     peer.breach(&self.shared.counters, 0, Fault::Slow, what);
-                } else if peer.told.get().is_some_and(|at| now - at > TOLD) {
+                } else if peer.told.get().is_some_and(|at| now - at.max(peer.active_at.get()) > TOLD) {
                     conn.ask_to_close();
                 } else if idles && peer.is_idle() && peer.told.get().is_none() {
                     add(&self.shared.counters.idle_closed);
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -331,6 +331,26 @@
     assert!(router.0.ended(), "it is closed once nothing is open on it");
 }
 
+/// Guards requests that cross the end of a connection that is still in use: it is not ended in a drain while its caller goes on.
+#[test]
+fn a_connection_in_use_is_not_ended_in_a_drain() {
+    let (place, _kernel) = up(|all| {
+        all["stop_ms"] = json!(20_000);
+        all["settings"]["obligations"]["stop_sending_within_ns"] = json!(100_000_000);
+    });
+    let mut router = resting(place.server);
+    place.signal("TERM");
+    place.logged("draining");
+    assert_eq!(router.frame().kind, 64);
+    for stream in 1..=12 {
+        std::thread::sleep(Duration::from_millis(300));
+        let txn = format!("{stream:016x}");
+        router.0.send(invocation(stream, &txn, "lookup", b"ask"));
+        assert_eq!(router.answer(), (stream, "throttled", Vec::new()));
+    }
+    assert!(router.0.ended(), "it is closed once it rests");
+}
+
 /// A listener whose line is full: whoever dials it hears nothing.
 fn silent() -> (TcpListener, Vec<TcpStream>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
