--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod owners;
 pub mod rollout;
+pub mod soak;
 pub mod split;
 pub mod tier;
 
