A process that ends before it listens names the cause, and the rig shows how it ended

Cause: errors of sockets, signals and the event loop were passed on bare; the rig did not look at the exit status.

Change: sockets::tried puts what was tried before the system's words; the rig's panic has exit status or signal, and the log.

--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -15,7 +15,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::mpsc::{channel, Receiver};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -579,7 +579,7 @@
     pub server: SocketAddr,
     /// Where gateways connect, if the operator's file says so.
     pub scgi: Option<SocketAddr>,
-    process: Child,
+    process: std::cell::RefCell<Child>,
     log: Receiver<String>,
     /// Lines that were passed over, with those that were waited for.
     passed: std::cell::RefCell<Vec<String>>,
@@ -653,6 +653,7 @@
         });
         let server = SocketAddr::from(([127, 0, 0, 1], 0));
         let (scgi, path, passed) = (None, path, Default::default());
+        let process = std::cell::RefCell::new(process);
         let mut place =
             Place { kernel, ledger, roster, server, scgi, process, log, passed, config, operator: path, all };
         let listens = |place: &Place, words| {
@@ -675,7 +676,12 @@
         loop {
             let left = until.saturating_duration_since(Instant::now());
             let line = self.log.recv_timeout(left).unwrap_or_else(|error| {
-                panic!("no line with {words:?}, {error}; it said {:#?}", self.passed.borrow())
+                let end = match self.process.borrow_mut().try_wait() {
+                    Ok(Some(status)) => format!("it ended with {status}"),
+                    _ if error == RecvTimeoutError::Disconnected => "it closed its log".to_string(),
+                    _ => "it goes on".to_string(),
+                };
+                panic!("no line with {words:?}; {end}; it said {:#?}", self.passed.borrow())
             });
             self.passed.borrow_mut().push(line.clone());
             if line.contains(words) {
@@ -707,10 +713,10 @@
         self.signal("HUP");
     }
     pub fn id(&self) -> u32 {
-        self.process.id()
+        self.process.borrow().id()
     }
     pub fn signal(&self, name: &str) {
-        let id = self.process.id().to_string();
+        let id = self.id().to_string();
         let sent = Command::new("kill").args(["-s", name, &id]).status();
         assert!(sent.is_ok_and(|status| status.success()), "to send {name}");
     }
@@ -718,7 +724,7 @@
     pub fn exit(&mut self) -> ExitStatus {
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
-            if let Some(status) = self.process.try_wait().expect("its state") {
+            if let Some(status) = self.process.get_mut().try_wait().expect("its state") {
                 return status;
             }
             std::thread::sleep(Duration::from_millis(10));
@@ -726,14 +732,14 @@
         panic!("it goes on");
     }
     pub fn runs(&mut self) -> bool {
-        self.process.try_wait().expect("its state").is_none()
+        self.process.get_mut().try_wait().expect("its state").is_none()
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
+        let _ = self.process.get_mut().kill();
+        let _ = self.process.get_mut().wait();
         let _ = std::fs::remove_file(&self.config);
         let _ = std::fs::remove_file(&self.operator);
     }
--- a/crates/server/src/forwarder/talk.rs
+++ b/crates/server/src/forwarder/talk.rs
@@ -5,6 +5,7 @@
 use crate::clock::Clock;
 use crate::log;
 use crate::rollout::gate::Gate;
+use crate::sockets::tried;
 use cypresscleat_forwarding::grants::{GrantHeader, GRANT_RENEWAL_INTERVAL};
 use cypresscleat_forwarding::membership::{Membership, MembershipConfig, OutgoingMessage};
 use cypresscleat_forwarding::messages::{self, Decoded, Envelope, LoadReport, Message, Role};
@@ -29,7 +30,8 @@
 
 impl Talk {
     pub async fn new(name: &str, role: Role, tier: &Tier, clock: Clock, seed: u64) -> io::Result<Talk> {
-        let socket = UdpSocket::bind(tier.listen).await?;
+        let named = tried(format_args!("tier.listen {}", tier.listen).to_string());
+        let socket = UdpSocket::bind(tier.listen).await.map_err(named)?;
         let own = socket.local_addr()?;
         log!("{} hears members at {own}", name);
         let seeds = tier.planners.iter().map(|planner| planner.address).collect();
--- a/crates/server/src/leases/hold.rs
+++ b/crates/server/src/leases/hold.rs
@@ -3,6 +3,7 @@
 use super::known_replicas::KnownReplicas;
 use super::wire::Wire;
 use super::{drawn, Keepers, Steady};
+use crate::sockets::tried;
 use cypresscleat_consensus::message;
 use cypresscleat_leases::client::{LeaseClient, LeaseEvent};
 use cypresscleat_leases::messages::Request;
@@ -23,7 +24,7 @@
 
 impl Hold {
     pub async fn new(name: &str, set: &Keepers, claims: Vec<Claim>) -> io::Result<Hold> {
-        let socket = UdpSocket::bind(set.from()).await?;
+        let socket = UdpSocket::bind(set.from()).await.map_err(tried("the leases' socket"))?;
         let clock = Steady::start();
         let keepers = set.all.iter().map(|(name, _)| node_id(name)).collect();
         let client = LeaseClient::new(clock.now(), node_id(name), drawn(name), claims, keepers);
--- a/crates/server/src/leases/keep.rs
+++ b/crates/server/src/leases/keep.rs
@@ -5,6 +5,7 @@
 use super::wire::Wire;
 use super::{drawn, Keepers, Steady};
 use crate::journal::{monotonic, Journal};
+use crate::sockets::tried;
 use crate::{log, operator};
 use cypresscleat_consensus::storage::PersistentState;
 use cypresscleat_consensus::{message, storage, RaftConfig, Ready, Replica, ReplicaConfig};
@@ -199,16 +200,15 @@
 /// With `path`, SIGHUP reads the operator's file again: keepers that it names from then on come and go, one at a time, each change
 /// decided by the others.
 pub async fn run(name: &str, set: &Keepers, path: Option<&Path>) -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut hup = signal(SignalKind::hangup())?;
+    let mut term = signal(SignalKind::terminate()).map_err(tried("signals"))?;
+    let mut hup = signal(SignalKind::hangup()).map_err(tried("signals"))?;
     let mut set = set.clone();
     let folder = set.folder.clone().ok_or_else(|| other("keepers.folder says where this keeper keeps"))?;
     let own = node_id(name);
     let listen =
         set.addresses().get(&own).copied().ok_or_else(|| other(format!("no {name:?} in keepers.all")))?;
-    let socket = UdpSocket::bind(listen)
-        .await
-        .map_err(|error| other(format!("keeper {name} on {listen}: {error}")))?;
+    let named = tried(format!("keeper {name} on {listen}"));
+    let socket = UdpSocket::bind(listen).await.map_err(named)?;
     log!("keeper {name} hears at {}", socket.local_addr()?);
     loop {
         let forgot = tokio::select! {
--- a/crates/server/src/leases/mod.rs
+++ b/crates/server/src/leases/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::log;
 use crate::operator::{self, Operator};
+use crate::sockets::tried;
 use cypresscleat_consensus::message;
 use cypresscleat_leases::{node_id, NodeId, Time};
 use std::collections::HashMap;
@@ -108,7 +109,8 @@
 }
 
 pub(crate) fn block_on(work: impl std::future::Future<Output = io::Result<()>>) -> io::Result<ExitCode> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(tried("event loop"))?;
     LocalSet::new().block_on(&runtime, work)?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/server/src/leases/wire.rs
+++ b/crates/server/src/leases/wire.rs
@@ -2,6 +2,7 @@
 
 use super::known_replicas::KnownReplicas;
 use super::Keepers;
+use crate::sockets::tried;
 use cypresscleat_consensus::message::{self, Message};
 use cypresscleat_leases::{messages, node_id, NodeId};
 use cypresscleat_rollout::messages as policies;
@@ -80,7 +81,7 @@
 
 impl Asker {
     pub fn new(keepers: &Keepers) -> io::Result<Asker> {
-        let socket = UdpSocket::bind(keepers.from())?;
+        let socket = UdpSocket::bind(keepers.from()).map_err(tried("the command's socket"))?;
         let order = keepers.all.iter().map(|(name, _)| node_id(name)).collect();
         let until = Instant::now() + PATIENCE;
         Ok(Asker { socket, replicas: KnownReplicas::new(ASKER, keepers.addresses()), order, at: 0, until })
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -21,6 +21,7 @@
 use cypresscleat_server::operator::{self, Operator};
 use cypresscleat_server::ready::Ready;
 use cypresscleat_server::rollout::{self, member, Policy};
+use cypresscleat_server::sockets::tried;
 use cypresscleat_server::{kernel, leases, log, planner, pool, recovery, relay, roster};
 use cypresscleat_settings::Names;
 use std::cell::RefCell;
@@ -74,6 +75,7 @@
     };
     let started = std::time::Instant::now();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(tried("event loop"));
     let ended =
         runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, start(started, operator, role)));
     match ended {
@@ -108,7 +110,11 @@
 
 /// The signals to read the configuration again and to leave end the program unless they are listened for: first of all.
 async fn start(started: std::time::Instant, path: Option<PathBuf>, role: Role) -> io::Result<ExitCode> {
-    let begun = Begun { started, hup: signal(SignalKind::hangup())?, term: signal(SignalKind::terminate())? };
+    let begun = Begun {
+        started,
+        hup: signal(SignalKind::hangup()).map_err(tried("signals"))?,
+        term: signal(SignalKind::terminate()).map_err(tried("signals"))?,
+    };
     let config = match config::read() {
         Ok(config) => config,
         Err(what) => {
@@ -151,11 +157,13 @@
 }
 
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let named = |error: io::Error| io::Error::new(error.kind(), format!("listen {address}: {error}"));
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address).map_err(named)?;
-    socket.listen(BACKLOG).map_err(named)
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let bound = socket.and_then(|socket| {
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    });
+    bound.map_err(tried(format!("listen {address}")))
 }
 
 /// The module of a forwarder: its cores are the places of all workers, and what runs there is no memory of its own.
@@ -247,7 +255,7 @@
     path: Option<PathBuf>,
     role: Role,
 ) -> io::Result<()> {
-    let mut usr1 = signal(SignalKind::user_defined1())?;
+    let mut usr1 = signal(SignalKind::user_defined1()).map_err(tried("signals"))?;
     let (queue, notes) = channel(QUEUE);
     // Before anybody can be served.
     let (mut store, mut keeping) = (None, None);
--- a/crates/server/src/planner/mod.rs
+++ b/crates/server/src/planner/mod.rs
@@ -8,6 +8,7 @@
 use crate::leases::{self, Keepers, PLANNERS};
 use crate::rollout::member::Task;
 use crate::rollout::Rollout;
+use crate::sockets::tried;
 use crate::{log, rollout};
 use cypresscleat_forwarding::capacity_plan::CapacityPlan;
 use cypresscleat_forwarding::grants::{GrantHeader, LeadershipChange, LeasedGrants, PlannerElection};
@@ -75,7 +76,7 @@
     seed: u64,
 ) -> io::Result<()> {
     let clock = Clock::start();
-    let mut term = signal(SignalKind::terminate())?;
+    let mut term = signal(SignalKind::terminate()).map_err(tried("signals"))?;
     let mut talk = Talk::new(name, Role::Planner, tier, clock, seed).await?;
     if let Some((set, above)) = rollout.and_then(|set| Some((set, set.above(keepers)?))) {
         let task = Task::new(name, above, set, None, None, Box::new(|_| {})).await?;
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -9,6 +9,7 @@
 use crate::operator;
 use crate::rollout::texts::{keep, load, KEPT};
 use crate::rollout::{check, LEAVES};
+use crate::sockets::tried;
 use cypresscleat_consensus::message;
 use cypresscleat_rollout::messages::{Request, Response};
 use cypresscleat_rollout::{node_id, NodeId, Version, MAX_DOCUMENT_BYTES};
@@ -110,13 +111,11 @@
 
 /// Until it is told to stop, and has left or waited long enough for that.
 async fn run(name: &str, keepers: &Keepers, set: &Relay) -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut usr1 = signal(SignalKind::user_defined1())?;
-    let named = |error: io::Error| {
-        io::Error::new(error.kind(), format!("relay {name} on {listen}: {error}", listen = set.listen))
-    };
+    let mut term = signal(SignalKind::terminate()).map_err(tried("signals"))?;
+    let mut usr1 = signal(SignalKind::user_defined1()).map_err(tried("signals"))?;
+    let named = tried(format!("relay {name} on {}", set.listen));
     let below = UdpSocket::bind(set.listen).await.map_err(named)?;
-    let above = UdpSocket::bind(keepers.from()).await?;
+    let above = UdpSocket::bind(keepers.from()).await.map_err(tried("the socket to the keepers"))?;
     // Guards against the loss of the first words: a socket takes none before it is known to.
     for socket in [&below, &above] {
         socket.writable().await?;
--- a/crates/server/src/rollout/member.rs
+++ b/crates/server/src/rollout/member.rs
@@ -8,6 +8,7 @@
 use crate::leases::wire::Wire;
 use crate::leases::{self, addresses, drawn, from, Steady};
 use crate::log;
+use crate::sockets::tried;
 use cypresscleat_consensus::message;
 use cypresscleat_rollout::member::{MemberEvent, RolloutMember};
 use cypresscleat_rollout::messages::{Request, Verdict};
@@ -58,7 +59,7 @@
         queue: Option<Sender<Note>>,
         apply: Apply,
     ) -> io::Result<Task> {
-        let socket = UdpSocket::bind(from(above)).await?;
+        let socket = UdpSocket::bind(from(above)).await.map_err(tried("the rollout's socket"))?;
         let clock = Steady::start();
         let all = above.iter().map(|(name, _)| node_id(name)).collect();
         let member = RolloutMember::new(clock.now(), name, (node_id(name), drawn(name)), all);
--- a/crates/server/src/sockets.rs
+++ b/crates/server/src/sockets.rs
@@ -1,5 +1,6 @@
 //! What several adapters do with a socket.
 
+use std::fmt::Display;
 use std::future::poll_fn;
 use std::io::{self, ErrorKind, Read};
 use std::pin::Pin;
@@ -13,6 +14,11 @@
 const LINGER: Duration = Duration::from_millis(300);
 const DROPPED: usize = 64 * 1024;
 
+/// An error that says what was tried, such as an address that was to be listened at: a process that ends by it names the cause.
+pub fn tried(what: impl Display) -> impl FnOnce(io::Error) -> io::Error {
+    move |error| io::Error::new(error.kind(), format!("{what}: {error}"))
+}
+
 /// Writes all of it, however long the other side takes: for those that bound the time themselves.
 pub async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
