Tests: the callers behind a relay go on until its member has admitted one again

The check stays and one is added: m0 has to admit within the patience while callers go on; what it admits first, and under which version, is checked as before.

--- a/crates/server/tests/relays.rs
+++ b/crates/server/tests/relays.rs
@@ -221,6 +221,19 @@
     assert!(stage.logged("m0", "out of service", 1, PATIENCE));
     sleep(ms(500));
     stage.obey(&Order::Wake("r0".into()));
+    // Callers go on until it has admitted one: that it may is in the journal some milliseconds before.
+    let admits_again = || {
+        let journal = stage.journal();
+        let woken = journal.iter().position(|line| line["event"] == json!("woken")).expect("it was woken");
+        journal[woken..]
+            .iter()
+            .any(|line| line["event"] == json!("admitted") && line["member"] == json!("m0"))
+    };
+    let until = Instant::now() + PATIENCE;
+    while !admits_again() {
+        assert!(Instant::now() < until, "it never serves again: {:?}", told(&stage));
+        sleep(ms(20));
+    }
     good(&mut stage, version, &|newer| newer > 1);
     assert!(lines(&stage, "r0", "no members are answered") > 0, "{:?}", told(&stage));
     let journal = stage.journal();
