Rollout members: a disk that stalls holds up no heartbeat, so admission goes on

Cause: the member's loop awaited the write of the version, and of the note of the active one; no heartbeat went out meanwhile.

Change: rollout/disk.rs, a thread with a bounded queue, which was the relay's; both use it. The verdict goes out when the version is written, a queue that is full refuses the version.

--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -7,12 +7,13 @@
 use crate::leases::{self, block_on, drawn, Keepers, Steady};
 use crate::log;
 use crate::operator;
-use crate::rollout::texts::{keep, load, KEPT};
+use crate::rollout::disk::{VersionDisk, Written};
+use crate::rollout::texts::load;
 use crate::rollout::{check, LEAVES};
 use crate::sockets::tried;
 use cypresscleat_consensus::message;
 use cypresscleat_rollout::messages::{Request, Response};
-use cypresscleat_rollout::{node_id, NodeId, Version, MAX_DOCUMENT_BYTES};
+use cypresscleat_rollout::{node_id, NodeId, MAX_DOCUMENT_BYTES};
 use cypresscleat_rollout_relay::{Out, Relay as Decider};
 use cypresscleat_scheduler::Time;
 use std::collections::VecDeque;
@@ -20,10 +21,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::mpsc::{sync_channel, SyncSender};
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::mpsc::{channel, Receiver};
 use tokio::time::sleep_until;
 
 /// Datagrams that are read from one side before the other side has its turn: a member that floods delays no keeper's word.
@@ -75,24 +74,6 @@
     }
 }
 
-/// How keeping a version went.
-type Kept = (u64, Result<(), String>);
-
-/// A thread of its own for the disk, which may take its time, or never answer: nothing here waits for it, not even the end.
-fn disk(folder: PathBuf) -> io::Result<(SyncSender<Version>, Receiver<Kept>)> {
-    let (texts, to_keep) = sync_channel::<Version>(KEPT);
-    let (done, kept) = channel(KEPT);
-    std::thread::Builder::new().name("texts".into()).spawn(move || {
-        for version in to_keep {
-            let how = keep(&folder, &version, None).map_err(|error| error.to_string());
-            if done.blocking_send((version.number, how)).is_err() {
-                return;
-            }
-        }
-    })?;
-    Ok((texts, kept))
-}
-
 struct Task {
     name: String,
     own: NodeId,
@@ -101,9 +82,9 @@
     replicas: KnownReplicas,
     clock: Steady,
     relay: Decider<SocketAddr>,
-    disk: SyncSender<Version>,
+    disk: VersionDisk,
     /// Texts that the disk's thread had no room for, and that the relay is still to hear of.
-    unkept: VecDeque<Kept>,
+    unkept: VecDeque<Written>,
     counters: Counters,
     /// Of those that are no letters, as last told.
     told: u64,
@@ -132,7 +113,6 @@
             Err(what) => log!("policy {} was kept and is not handed out: {what}", version.number),
         }
     }
-    let (disk, mut kept) = disk(set.folder.clone())?;
     let mut task = Task {
         name: name.to_string(),
         own: key.0,
@@ -141,7 +121,7 @@
         replicas: KnownReplicas::new(&format!("relay {name}"), keepers.addresses()),
         clock,
         relay,
-        disk,
+        disk: VersionDisk::start(&set.folder)?,
         unkept: VecDeque::new(),
         counters: Counters::default(),
         told: 0,
@@ -154,8 +134,8 @@
             let out = task.relay.tick(now);
             task.carry(out);
         }
-        if let Some((number, how)) = task.unkept.pop_front() {
-            task.keeps(number, how);
+        if let Some(unkept) = task.unkept.pop_front() {
+            task.keeps(unkept);
         }
         task.tells();
         if task.relay.left() || ends.is_some_and(|at| now >= at) {
@@ -167,7 +147,7 @@
             () = sleep_until(clock.instant(due)) => {}
             ready = task.above.readable() => ready?,
             ready = task.below.readable() => ready?,
-            Some((number, how)) = kept.recv() => task.keeps(number, how),
+            Some(written) = task.disk.next() => task.keeps(written),
             _ = usr1.recv() => log!("{}", task.line()),
             _ = term.recv(), if ends.is_none() => {
                 log!("relay {name} leaves");
@@ -241,8 +221,8 @@
         }
         for version in out.keep {
             let number = version.number;
-            if self.disk.try_send(version).is_err() {
-                self.unkept.push_back((number, Err("the disk is behind".into())));
+            if !self.disk.write_version(version, None) {
+                self.unkept.push_back(Written { number, result: Err("the disk is behind".into()) });
             }
         }
     }
@@ -268,9 +248,9 @@
         }
     }
 
-    fn keeps(&mut self, number: u64, how: Result<(), String>) {
-        add(if how.is_ok() { &self.counters.kept } else { &self.counters.unkept });
-        let out = self.relay.kept(self.clock.now(), number, how);
+    fn keeps(&mut self, Written { number, result }: Written) {
+        add(if result.is_ok() { &self.counters.kept } else { &self.counters.unkept });
+        let out = self.relay.kept(self.clock.now(), number, result);
         self.carry(out);
     }
 
--- a/crates/server/src/rollout/member.rs
+++ b/crates/server/src/rollout/member.rs
@@ -1,7 +1,8 @@
 //! The member's task: its socket, its texts on the disk, what is to be done when a version comes in force.
 
+use super::disk::{VersionDisk, Written};
 use super::gate::Gate;
-use super::texts::{keep, load, put, KEPT};
+use super::texts::{load, KEPT};
 use super::{check, Policy, Rollout};
 use crate::core::Note;
 use crate::leases::known_replicas::KnownReplicas;
@@ -46,6 +47,9 @@
     clock: Steady,
     member: RolloutMember,
     policies: BTreeMap<u64, Policy>,
+    /// Checked, and on their way to the disk.
+    checked: BTreeMap<u64, Policy>,
+    disk: VersionDisk,
     last: Option<u64>,
 }
 
@@ -76,6 +80,8 @@
             clock,
             member,
             policies: BTreeMap::from([(0, Policy::default())]),
+            checked: BTreeMap::new(),
+            disk: VersionDisk::start(&set.folder)?,
             last: None,
         };
         task.loads();
@@ -143,6 +149,10 @@
                     self.post(asks);
                     continue;
                 }
+                Some(written) = self.disk.next() => {
+                    self.written(written);
+                    continue;
+                }
                 got = self.socket.recv_from(&mut bytes) => got,
             };
             let Ok((size, by)) = got else { continue }; // word of an earlier datagram that found nobody
@@ -160,6 +170,7 @@
                 _ => {}
             }
         }
+        self.disk.finish().await;
         gate.left.notify_one();
     }
 
@@ -171,7 +182,7 @@
             }
             for event in events {
                 match event {
-                    MemberEvent::Check { version, .. } => self.checks(*version).await,
+                    MemberEvent::Check { version, .. } => self.checks(*version),
                     MemberEvent::Activated { number } => self.in_force(number).await,
                     MemberEvent::LeaseExpired { number } => {
                         log!("out of service: no keeper has renewed the lease on policy {number}");
@@ -192,36 +203,52 @@
         }
     }
 
-    async fn checks(&mut self, version: Version) {
+    /// Checks a version in full. One that can be carried out is put on the disk before a word of that leaves.
+    fn checks(&mut self, version: Version) {
         let number = version.number;
+        // It came again, as its check takes long.
+        if self.checked.contains_key(&number) {
+            return;
+        }
         dies("before_check");
-        let verdict = match check(&version, self.set.room, self.names.as_deref()) {
-            Ok(policy) => {
-                let folder = self.set.folder.clone();
-                // What it has in force, or had last: changes that are dropped may be many.
-                let last = self.last;
-                // Not on the loop that serves: a disk may take its time.
-                let done = tokio::task::spawn_blocking(move || keep(&folder, &version, last)).await;
-                match done.map_err(io::Error::other).and_then(|done| done) {
-                    Ok(()) => {
-                        self.policies.insert(number, policy);
-                        while self.policies.len() > KEPT + 2 {
-                            let spared = [Some(0), last, Some(self.member.told().0)];
-                            let mut old = self.policies.keys().copied();
-                            let Some(old) = old.find(|known| !spared.contains(&Some(*known))) else {
-                                break;
-                            };
-                            self.policies.remove(&old);
-                        }
-                        Verdict::Prepared
-                    }
-                    Err(error) => {
-                        Verdict::Refused(truncate(&format!("it can't be kept: {error}"), MAX_REASON_BYTES))
-                    }
-                }
+        let refused = match check(&version, self.set.room, self.names.as_deref()) {
+            // The last one is spared: changes that are dropped may be many.
+            Ok(policy) if self.disk.write_version(version, self.last) => {
+                self.checked.insert(number, policy);
+                return;
             }
-            Err(what) => Verdict::Refused(truncate(&what, MAX_REASON_BYTES)),
+            Ok(_) => "it can't be kept: the disk is behind".to_string(),
+            Err(what) => what,
         };
+        self.tells_verdict(number, Verdict::Refused(truncate(&refused, MAX_REASON_BYTES)));
+    }
+
+    /// A version is on the disk, or can't be.
+    fn written(&mut self, Written { number, result }: Written) {
+        let Some(policy) = self.checked.remove(&number) else { return };
+        let verdict = match result {
+            Ok(()) => {
+                self.policies.insert(number, policy);
+                self.forgets_old_policies();
+                Verdict::Prepared
+            }
+            Err(error) => Verdict::Refused(truncate(&format!("it can't be kept: {error}"), MAX_REASON_BYTES)),
+        };
+        self.tells_verdict(number, verdict);
+    }
+
+    fn forgets_old_policies(&mut self) {
+        let spared = [Some(0), self.last, Some(self.member.told().0)];
+        while self.policies.len() > KEPT + 2 {
+            let mut old = self.policies.keys().copied();
+            let Some(old) = old.find(|known| !spared.contains(&Some(*known))) else {
+                break;
+            };
+            self.policies.remove(&old);
+        }
+    }
+
+    fn tells_verdict(&mut self, number: u64, verdict: Verdict) {
         if let Verdict::Refused(what) = &verdict {
             log!("policy {number} can't be carried out here: {what}");
         }
@@ -253,9 +280,7 @@
         }
         if self.last != Some(number) {
             self.last = Some(number);
-            let folder = self.set.folder.clone();
-            let put = move || put(&folder, &folder.join("in_force"), format!("{number}\n").as_bytes());
-            let _ = tokio::task::spawn_blocking(put).await;
+            self.disk.write_active(number);
         }
     }
 }
--- a/crates/server/src/rollout/mod.rs
+++ b/crates/server/src/rollout/mod.rs
@@ -3,6 +3,7 @@
 //! all goes through.
 
 pub mod ask;
+pub mod disk;
 pub mod gate;
 pub mod member;
 pub mod texts;
--- /dev/null
+++ b/crates/server/tests/member_disk.rs
@@ -0,0 +1,95 @@
+//! A member of a rollout whose disk stalls: a named pipe stands where a version is to be written, and nobody reads from it for a while.
+
+use cypresscleat_consensus::message;
+use cypresscleat_rollout::member::AdmissionPermit;
+use cypresscleat_rollout::messages::{Request, Response, Verdict};
+use cypresscleat_rollout::{node_id, Time, Version, MAX_DOCUMENT_BYTES, SECOND};
+use cypresscleat_server::leases::wire::Wire;
+use cypresscleat_server::rollout::member::Task;
+use cypresscleat_server::rollout::Rollout;
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, timeout, Instant};
+
+const LEASE: Time = SECOND;
+/// How long the disk stalls: over two leases.
+const STALL: Duration = Duration::from_millis(2_500);
+const PATIENCE: Duration = Duration::from_secs(20);
+/// The version that is proposed.
+const PROPOSED: u64 = 2;
+
+/// A leader with version 0 active and another one proposed; comes back with the member's verdict on that.
+async fn leader(socket: &UdpSocket) -> Verdict {
+    let mut bytes = vec![0; message::MAX_DATAGRAM_BYTES];
+    loop {
+        let (size, member) = socket.recv_from(&mut bytes).await.expect("a request");
+        let Ok(Wire::PolicyAsk(request)) = message::decode::<Wire>(&bytes[..size]) else { continue };
+        let response = match request {
+            Request::Heartbeat { verdict: Some((PROPOSED, verdict)), .. } => return verdict,
+            Request::Heartbeat { key, number, .. } => Response::Renewed {
+                key,
+                number,
+                lease: Some(LEASE),
+                period: LEASE / 4,
+                version: 0,
+                check: PROPOSED,
+                pause: 0,
+            },
+            Request::FetchDocument { number, version } => {
+                let version = Some(Box::new(Version { number: version, ..Version::default() }));
+                Response::Document { number, version }
+            }
+            _ => continue,
+        };
+        answers(socket, member, response).await;
+    }
+}
+
+async fn answers(socket: &UdpSocket, member: SocketAddr, answer: Response) {
+    let bytes = message::encode(&Wire::PolicyAnswer { from: node_id("k"), answer }).expect("it is short");
+    socket.send_to(&bytes, member).await.expect("it goes");
+}
+
+/// Guards admission against the member's own disk: while it stalled no heartbeat went out, and the lease ended.
+#[test]
+fn a_member_whose_disk_stalls_for_two_leases_admits_all_the_while() {
+    let folder = std::env::temp_dir().join(format!("member-and-stalled-disk-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let pipe = folder.join(format!("{PROPOSED:012}.new"));
+    assert!(Command::new("mkfifo").arg(&pipe).status().is_ok_and(|status| status.success()), "a named pipe");
+    let reader = std::thread::spawn(move || {
+        std::thread::sleep(STALL + Duration::from_millis(500));
+        std::fs::read(pipe)
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let (denied, verdict) = runtime.block_on(async {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+        let above = [("k".to_string(), socket.local_addr().expect("an address"))];
+        let set =
+            Rollout { folder: folder.clone(), alone: None, room: MAX_DOCUMENT_BYTES, relays: Vec::new() };
+        let task = Task::new("m", &above, &set, None, None, Box::new(|_| {})).await.expect("a socket");
+        let gate = task.gate();
+        let looks = async {
+            while gate.may() == AdmissionPermit::Deny {
+                sleep(Duration::from_millis(5)).await;
+            }
+            let (until, mut denied) = (Instant::now() + STALL, 0);
+            while Instant::now() < until {
+                denied += u32::from(gate.may() != AdmissionPermit::Admit(0));
+                sleep(Duration::from_millis(20)).await;
+            }
+            denied
+        };
+        tokio::select! {
+            () = task.run() => panic!("it ended"),
+            both = async { tokio::join!(looks, timeout(PATIENCE, leader(&socket))) } => both,
+        }
+    });
+    let _ = reader.join();
+    let _ = std::fs::remove_dir_all(folder);
+    assert_eq!(denied, 0, "it admits nothing while its disk stalls");
+    // A pipe can't be synced: the version is refused, and that is told once the disk goes on.
+    assert!(matches!(verdict, Ok(Verdict::Refused(_))), "{verdict:?}");
+}
