Consensus: a leader whose disk is found stale steps down at once

The process ends that life after the round; the library's other users have no such end.

Cause: handle_disk_check_response marked the disk and left the role.

Change: it steps down in the same step; pending proposals end as unknown.

Before: a_leader_whose_disk_is_found_stale_leads_no_longer failed ("it leads on"). Now it passes; tests of consensus (the model checker and simulated faults among them), leases and rollout pass.

--- a/crates/consensus/src/replica/membership.rs
+++ b/crates/consensus/src/replica/membership.rs
@@ -1,6 +1,6 @@
 //! Members: the first configuration, single-server changes, and the identity of disks.
 
-use super::{Event, Ready, Replica};
+use super::{Event, Ready, Replica, Role};
 use crate::message::{EntryPayload, LogPosition, MessageBody, MAX_MEMBERS};
 use crate::storage::{self, Snapshot};
 use crate::{Member, StateMachine, Time};
@@ -142,9 +142,10 @@
         self.send(to, MessageBody::DiskCheckResponse { last, voted_term }, ready);
     }
 
-    /// Another replica knows what this disk has promised: a disk that holds less is stale.
+    /// Another replica knows what this disk has promised: a disk that holds less is stale. Nobody leads on one.
     pub(super) fn handle_disk_check_response(
         &mut self,
+        now: Time,
         acknowledged: LogPosition,
         voted_term: u64,
         ready: &mut Ready,
@@ -156,6 +157,8 @@
         if self.is_bootstrapped && is_short {
             self.is_disk_stale = true;
             ready.events.push(Event::StaleDisk { disk: self.own.disk, last, acknowledged });
+            self.step_down(now, ready);
+            self.role = Role::Follower;
         }
     }
 }
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -229,7 +229,7 @@
             MessageBody::Bootstrap { members } => self.bootstrap(now, members, &mut ready),
             MessageBody::DiskCheck { last: _ } => self.handle_disk_check(message.from, &mut ready),
             MessageBody::DiskCheckResponse { last, voted_term } => {
-                self.handle_disk_check_response(*last, *voted_term, &mut ready)
+                self.handle_disk_check_response(now, *last, *voted_term, &mut ready)
             }
             _ if message.to_disk == 0 => {}
             _ => self.step_addressed(now, message, &mut ready),
