Counters: requests rejected ahead of the scheduler count as taken in

Cause: these three rejections left before the line that counts, each with its own copy of the answer.

Change: Side::rejects_unadmitted answers and counts for all three.

Before: the counter read 2 of 3 in a_failing_store_is_served_round_or_nothing_is_taken with the new line. Now 3; tests store, core, sockets, scgi and operator_interface pass.

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -608,9 +608,7 @@
             return peer.strike(&counters, stream, "a tokened operation without its token");
         }
         if side.keeping.as_ref().is_some_and(|keeping| keeping.failing && keeping.refuse) {
-            add(&counters.throttled);
-            let how = How::Throttled { back: STORE_BACK, give_up: false };
-            return peer.wire.answer(&peer.out, stream, how, b"", side.voice.feedback.get());
+            return side.rejects_unadmitted(&peer, stream, STORE_BACK);
         }
         // Guards the table of tokens: a token that is not kept could not be told from its repeat, and would run twice. May hurt
         // where more tokens come in their window than the table has room for.
@@ -620,10 +618,8 @@
             side.keeping.as_ref().filter(|keeping| tokened && new(keeping)).and_then(Keeping::full_until);
         if let Some(until) = full {
             add(&counters.tokens_refused);
-            add(&counters.throttled);
             let back = (until - unix).clamp(MS, self.settings.max_retry_after.max(MS));
-            let how = How::Throttled { back, give_up: false };
-            return peer.wire.answer(&peer.out, stream, how, b"", side.voice.feedback.get());
+            return side.rejects_unadmitted(&peer, stream, back);
         }
         // Under a token that is known it is a repeat, if it says the same.
         let came = read.door.min(unix);
@@ -662,9 +658,7 @@
                 }
                 _ => {
                     add(&side.counters.policy_refused);
-                    add(&side.counters.throttled);
-                    let how = How::Throttled { back: OUT_BACK, give_up: false };
-                    return peer.wire.answer(&peer.out, stream, how, b"", side.voice.feedback.get());
+                    return side.rejects_unadmitted(&peer, stream, OUT_BACK);
                 }
             }
         }
@@ -942,6 +936,14 @@
         inv
     }
 
+    /// Rejects a request ahead of the scheduler, to be sent again after `back`. It counts as taken in, as each that is answered does.
+    fn rejects_unadmitted(&self, peer: &Peer, stream: u32, back: Time) {
+        add(&self.counters.invocations);
+        add(&self.counters.throttled);
+        let how = How::Throttled { back, give_up: false };
+        peer.wire.answer(&peer.out, stream, how, b"", self.voice.feedback.get());
+    }
+
     fn owe(&mut self, inv: RequestSlot, peer: Rc<Peer>, stream: u32) {
         peer.open.borrow_mut().push((stream, inv));
         peer.active_at.set(self.now);
--- a/crates/server/tests/store.rs
+++ b/crates/server/tests/store.rs
@@ -325,6 +325,8 @@
         assert_eq!(code(&peer), Some(if refuse { 69 } else { 79 }));
         take(&mut core, arrive(3));
         assert_eq!(code(&peer), refuse.then_some(66), "nothing is taken that could not be recorded");
+        // Guards against counters that do not add up: what is rejected before it is admitted counts as well.
+        assert_eq!(shared.counters.invocations.get(), 3, "refuse: {refuse}");
         // And keeps again.
         if !refuse {
             take(&mut core, reap(3));
