Forwarders follow grants only from the planners of their file

Cause: forwarder/talk.rs took Grants whatever address they came from; the report that they have to answer has a number that can be guessed.

Change: grants count from the addresses of the planners that reports go to. Gossip stays open, as members join by it.

Before: grants_from_a_stranger_are_not_followed failed (requests throttled).

--- a/crates/server/src/forwarder/talk.rs
+++ b/crates/server/src/forwarder/talk.rs
@@ -131,10 +131,12 @@
     loop {
         let heard = talk.hear(next).await;
         let now = talk.clock.now();
+        // Guards the workers against grants from whoever reaches this port: only the planners that are asked may give any.
+        let is_planner = |from: &SocketAddr| tier.planners.iter().any(|planner| planner.address == *from);
         if let Some((
             _,
             Envelope { message: Message::Grants { epoch, number, report, duration, grants }, .. },
-        )) = &heard
+        )) = heard.as_ref().filter(|(from, _)| is_planner(from))
         {
             let header = GrantHeader { epoch: *epoch, number: *number, duration: *duration };
             let accepted = fleet.grants.borrow_mut().accept(now, header, *report, grants);
--- a/crates/server/tests/planners.rs
+++ b/crates/server/tests/planners.rs
@@ -186,3 +186,27 @@
     let all = trickle(&levels.addresses(), "again", 5, Duration::from_millis(10));
     assert!(all.iter().all(|got| got.how == "succeeded"), "{all:?}");
 }
+
+/// Guards against grants from whoever reaches the forwarder's port: a stranger's empty ones had all requests rejected.
+#[test]
+fn grants_from_a_stranger_are_not_followed() {
+    let nobody = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let planner_at = nobody.local_addr().expect("an address");
+    let mut levels = Levels::workers(Path::new(PROGRAM), CONFIG, vec![planner_at], 1);
+    levels.forward(1);
+    let line = logged(&levels, "hears members at ");
+    let address: SocketAddr = line.rsplit(' ').next().and_then(|word| word.parse().ok()).expect("an address");
+    logged(&levels, "takes work");
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    // The report that they answer can be guessed: reports are numbered from 1 on.
+    for number in 1..=40u64 {
+        for report in 1..=60 {
+            let _ = stranger.send_to(&say(1 << 16, number, report, vec![]), address);
+        }
+        thread::sleep(Duration::from_millis(25));
+    }
+    let all = trickle(&levels.addresses(), "stranger", 20, Duration::from_millis(10));
+    assert!(all.iter().all(|got| got.how == "succeeded"), "{all:?}");
+    let forwarder = levels.forwarders[0].as_ref().expect("it is here");
+    assert!(!forwarder.has_logged("by its grants"), "it follows them");
+}
