Operator's file: the address of a control replica under relays is refused

Cause: rollout.relays was checked against itself only.

Change: an address that keepers.all has is a fault of rollout.relays, with the keeper's name and the place.

Before: the new row of the_operators_file_names_what_is_wrong_with_its_place failed (exit code 0 in place of 2). Now it passes.

--- a/crates/server/src/operator.rs
+++ b/crates/server/src/operator.rs
@@ -120,6 +120,7 @@
         }),
         pools: root.find("pools").map_or_else(PoolsConfig::default, |node| reader.pools(node)),
     };
+    reader.refuse_keepers_as_relays(&operator, root.find("rollout"));
     let direct = operator.rollout.as_ref().is_some_and(|rollout| rollout.relays.is_empty());
     for (key, asks) in [("rollout", direct), ("relay", operator.relay.is_some())] {
         if let (Some(node), None, true) = (root.find(key), &operator.keepers, asks) {
@@ -297,6 +298,19 @@
         all
     }
 
+    /// A member that asks a keeper as if it were a relay would be answered, under a name that its file gives to somebody else.
+    fn refuse_keepers_as_relays(&mut self, operator: &Operator, node: Option<&Node>) {
+        let (Some(rollout), Some(keepers), Some(node)) = (&operator.rollout, &operator.keepers, node) else {
+            return;
+        };
+        for (_, address) in &rollout.relays {
+            if let Some((keeper, _)) = keepers.all.iter().find(|(_, known)| known == address) {
+                let what = format!("{address} is the address of keeper {keeper}");
+                self.fault(node.get("relays"), "rollout.relays", what);
+            }
+        }
+    }
+
     fn rollout(&mut self, node: &Node) -> Rollout {
         let relays = self.peers(node.get("relays"), "rollout.relays");
         if relays.len() > RELAYS {
--- a/crates/server/tests/relays.rs
+++ b/crates/server/tests/relays.rs
@@ -524,6 +524,12 @@
             ":1:72",
             "rollout.relays: the name or the address is taken",
         ),
+        // Guards against a member that asks a keeper as if it were a relay: it is answered, and counts as no zone's member.
+        (
+            format!("{keepers}rollout: {{folder: \"/f\", {}}}\n", zone.replace("127.0.0.1:5", "127.0.0.1:2")),
+            ":2:33",
+            "rollout.relays: 127.0.0.1:2 is the address of keeper k1",
+        ),
         (
             format!("rollout: {{folder: \"/f\", relays: [{}]}}\n", many.join(", ")),
             ":1:33",
