Drain: health checks keep no connection that was told to send no more

Cause: a check counted as use of the connection.

Change: in a drain, and after any word to send no more, checks do not count; they are answered until the close.

Before: health_checks_keep_no_connection_in_a_drain failed ("it stays for 69 checks"). Now it passes, as crossings, sockets and standing do.

--- a/crates/server/src/listeners/frames.rs
+++ b/crates/server/src/listeners/frames.rs
@@ -262,7 +262,10 @@
 }
 
 async fn frame(front: &Front, names: &Names, peer: &Rc<Peer>, kind: u8, stream: u32, payload: &[u8]) {
-    peer.active_at.set(front.clock.now());
+    // A check asks for no work: it does not keep a connection that was told to send no more.
+    if kind != frames::CHECK || peer.told.get().is_none() {
+        peer.active_at.set(front.clock.now());
+    }
     let note = match kind {
         frames::INVOCATION if stream > 0 => {
             let mut copy = front.shared.pool.take();
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -351,6 +351,27 @@
     assert!(router.0.ended(), "it is closed once it rests");
 }
 
+/// Guards the end of a drain: health checks ask for no work, so a connection with nothing else on it is closed and the process can end.
+#[test]
+fn health_checks_keep_no_connection_in_a_drain() {
+    let (mut place, _kernel) = up(|all| {
+        all["stop_ms"] = json!(60_000);
+        all["settings"]["obligations"]["stop_sending_within_ns"] = json!(100_000_000);
+    });
+    let mut checker = resting(place.server);
+    place.signal("TERM");
+    place.logged("draining");
+    assert_eq!(checker.frame().kind, 64);
+    let began = Instant::now();
+    let mut stream = 1;
+    while checker.0.try_send(&frame(16, stream + 1, &[0])) && checker.try_frame().is_some() {
+        stream += 1;
+        assert!(began.elapsed() < Duration::from_secs(20), "it stays for {stream} checks");
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    assert!(place.exit().success(), "it ends by itself");
+}
+
 /// A listener whose line is full: whoever dials it hears nothing.
 fn silent() -> (TcpListener, Vec<TcpStream>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
