--- a/review/standins.py
+++ b/review/standins.py
@@ -87,6 +87,10 @@
             kind = message["msg"]
             if kind == "OPEN":
                 self.link = writer
+                if message["serial"] == 0:  # a start of the app server: its executor has nothing of an earlier life
+                    for task in self.running.values():
+                        task.cancel()
+                    self.running, self.over, self.notices = {}, set(), []
                 age = (time.monotonic() - self.started) * 1000 + 60000
                 self.send({"msg": "BOOTED", "how": "WARM", "duration": age})
                 for notice in self.notices[message["serial"]:]:
@@ -328,6 +332,101 @@
             loop.call_later(self.delay, writer.transport.abort)
 
 
+class CuttableProxy:
+    """Carries connections to an app server. While it is cut, nothing passes in either direction; what was sent meanwhile is
+    delivered afterwards, as by TCP after a partition."""
+
+    def __init__(self, target):
+        self.target, self.tasks = target, set()
+        self.passes = asyncio.Event()
+        self.passes.set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        self.tasks.add(asyncio.current_task())
+        host, port = self.target.rsplit(":", 1)
+        await self.passes.wait()
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return writer.transport.abort()
+        for each in (writer, far_writer):
+            each.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await asyncio.gather(self.relay(reader, far_writer), self.relay(far_reader, writer))
+
+    async def relay(self, reader, writer):
+        try:
+            while True:
+                data = await reader.read(65536)
+                await self.passes.wait()
+                if not data:
+                    return writer.close()
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            writer.transport.abort()
+
+
+class CuttableDatagrams(asyncio.DatagramProtocol):
+    """Carries the datagrams of members to a planner, and those back that the planner sends in answer. While it is cut, they are
+    lost. Each member has a socket of its own at the planner's side."""
+
+    def __init__(self, target):
+        host, port = target.rsplit(":", 1)
+        self.target, self.members, self.is_cut = (host, int(port)), {}, False
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.transport.get_extra_info("sockname")[1]
+
+    def datagram_received(self, data, source):
+        if not self.is_cut:
+            asyncio.get_running_loop().create_task(self.forward(data, source))
+
+    async def forward(self, data, source):
+        if source not in self.members:
+            proxy = self
+
+            class Back(asyncio.DatagramProtocol):
+                def datagram_received(self, answer, _):
+                    if not proxy.is_cut:
+                        proxy.transport.sendto(answer, source)
+
+            loop = asyncio.get_running_loop()
+            made = await loop.create_datagram_endpoint(Back, local_addr=("127.0.0.1", 0))
+            self.members.setdefault(source, made[0])
+        self.members[source].sendto(data, self.target)
+
+
+def free_datagram_port():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def portal_settings():
+    """The settings of a worker of `surco-pampa`: names, limits and spans of its brief."""
+    ms = 1_000_000
+    common = {"effect": "retryable", "late_worth": 0.0, "memory_span_ns": 0}
+    settings = yard_settings()
+    settings["categories"] = [
+        dict(common, name="work-report", aim_ns=2400 * ms, deadline_ns=5800 * ms, worth=1.0),
+        dict(common, name="unit-status", aim_ns=1400 * ms, deadline_ns=3500 * ms, worth=1.0),
+        dict(common, name="billing-tally", aim_ns=1400 * ms, deadline_ns=3500 * ms, worth=3.0),
+    ]
+    settings["customers"] = [
+        {"name": "fjallmejeriet", "allowance_per_s": 200.0, "fraction": 1.0},
+    ]
+    settings["obligations"].update({"answer_slack_ns": 100 * ms, "cold_from": 0.2, "cold_ns": 16000 * ms, "fall_ns": 3000 * ms})
+    settings["specifics"].update({"cores": 6, "halt": "discard", "say": "allowance", "upstreams": 3, "memory_kb": 45654.0})
+    settings["group_size"] = 2
+    return settings
+
+
 def yard_settings(**changes):
     """The settings of an app server of `norrfrys-yard`: names, limits and spans of its site file."""
     ms = 1_000_000
