Review case 3: the resting connection ends by a reset, the request is never run

Cause: as before, check_duplicate attaches the second copy to a finished request that is retained for its key (core.rs). Change: the connection is reset by a proxy and the work is the site's, in place of a close aimed at by its time; stand-ins end their processes and folders in any case.

--- a/review/standins.py
+++ b/review/standins.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -136,10 +137,14 @@
 class Server:
     """One app server, started by the command of the deploy file."""
 
+    all = []  # every one that was started
+
     def __init__(self, record, config, arguments=(), folder=None):
         self.record = record
-        self.folder = folder or tempfile.mkdtemp(prefix="review-")
+        self.own_folder = None if folder else tempfile.mkdtemp(prefix="review-")
+        self.folder = folder or self.own_folder
         self.config, self.arguments = config, list(arguments)
+        Server.all.append(self)
         self.path = os.path.join(self.folder, "config.json")
         with open(self.path, "w") as file:
             json.dump(config, file)
@@ -159,6 +164,8 @@
         self.kill()
         self.process.wait()
         self.log.close()
+        if self.own_folder:
+            shutil.rmtree(self.own_folder, ignore_errors=True)
 
     def log_text(self):
         with open(os.path.join(self.folder, "server.log"), errors="replace") as file:
@@ -220,7 +227,6 @@
         self.has_ended = asyncio.get_running_loop().create_future()
         self.on_answer = lambda attempt: None
         self.on_told = lambda: None
-        self.sent_at = {}
 
     async def connect(self, address):
         host, port = address.rsplit(":", 1)
@@ -235,7 +241,6 @@
         self.open[stream] = attempt
         if attempt.sent is None:
             attempt.sent = time.monotonic()
-        self.sent_at[stream] = time.monotonic()
         self.record(f"{self.name}: sends {attempt.txn} {attempt.verb} {attempt.body} unique={attempt.unique} on stream {stream}")
         self.writer.write(frame(REQUEST, stream, attempt.payload()))
 
@@ -280,13 +285,11 @@
             self.has_ended.set_result(None)
 
 
-class DelayingProxy:
-    """Stands between routers and the app server, and delays the bytes of each direction. A connection is up for its client
-    after `handshake` seconds."""
+class EndingProxy:
+    """Carries connections to an app server, and ends one with a reset to both sides when it is told to."""
 
-    def __init__(self, target, delay, handshake):
-        self.target, self.delay, self.handshake = target, delay, handshake
-        self.tasks = set()
+    def __init__(self, target):
+        self.target, self.tasks, self.carried = target, set(), {}
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -294,42 +297,26 @@
 
     async def serve(self, reader, writer):
         self.tasks.add(asyncio.current_task())
-        try:
-            await self.carry(reader, writer)
-        finally:
-            self.tasks.discard(asyncio.current_task())
-
-    async def carry(self, reader, writer):
         host, port = self.target.rsplit(":", 1)
-        await asyncio.sleep(self.handshake)
-        try:
-            far_reader, far_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            return writer.transport.abort()
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
         for each in (writer, far_writer):
             each.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.carried[writer.get_extra_info("peername")] = (writer, far_writer)
         await asyncio.gather(self.relay(reader, far_writer), self.relay(far_reader, writer))
 
     async def relay(self, reader, writer):
-        loop = asyncio.get_running_loop()
-
-        def write(data):
-            try:
-                if data and not writer.is_closing():
-                    writer.write(data)
-                elif not data and not writer.is_closing():
-                    writer.write_eof()
-            except OSError:
-                pass  # its other side is gone
-
         try:
-            while True:
-                data = await reader.read(65536)
-                loop.call_later(self.delay, write, data)
-                if not data:
-                    return
+            while data := await reader.read(65536):
+                writer.write(data)
+            writer.close()
         except OSError:
-            loop.call_later(self.delay, writer.transport.abort)
+            writer.transport.abort()
+
+    def end(self, connection):
+        """Resets the connection, named by its router's socket, at both sides."""
+        for writer in self.carried.pop(connection.writer.get_extra_info("sockname")):
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
 
 
 class CuttableProxy:
@@ -497,11 +484,21 @@
 
 
 def play(main):
-    """Plays a case and ends the process with its exit code, 2 where it could not run."""
+    """Plays a case and ends the process with its exit code, 2 where it could not run. Ends all processes in any case."""
+
+    def stop(*_):
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    code = 2
     try:
         code = asyncio.new_event_loop().run_until_complete(main())
+    except SystemExit:
+        pass
     except Exception:  # noqa: BLE001
         traceback.print_exc()
-        code = 2
+    for server in Server.all:
+        server.kill()
     sys.stdout.flush()
     os._exit(code)
