Core: a connection that ends with several attempts of a key open ends each of them

What callers saw: a router's connection ended, by a reset, while two attempts under one idempotency key were open on it.

Cause: at ConnectionClosed the core copied the slots of the connection's open requests and withdrew each. Withdrawing the first attempt hands its request to the waiting one and the scheduler releases the waiting one's slot; the loop then withdrew the released slot.

Change: the connection is asked for its next open request after each withdrawal, newest first, so that a retry leaves before the attempt that it would take over and nothing is started for a client that is gone. It works because attach and detach are the only writers of that list, so it never names a released slot.

Persisted batches: each slot is checked against its request id. - pending calls in handle_timer: looked up anew, release takes its calls out. reconnect: skips free slots, releases nothing. Held requests: no slots. - scheduler: due timers are popped one by one and cancelled by release; dispatch, calls, shedding and eviction look up anew; start_draining copies but only sets timers. - forwarder, end_connection: takes its streams; attempts go by request id and number, and one that is gone is passed over. Downstream, listeners: lists of Rc, kept alive.

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -424,11 +424,7 @@
                     add(&self.host.counters.caller_left);
                 }
             }
-            CoreEvent::ConnectionClosed { peer } => {
-                let open_slots: Vec<RequestSlot> =
-                    peer.open_requests.borrow().iter().map(|(_, slot)| *slot).collect();
-                open_slots.into_iter().for_each(|slot| self.handle_client_left(slot));
-            }
+            CoreEvent::ConnectionClosed { peer } => self.handle_connection_closed(&peer),
             CoreEvent::ExecutorNotice(notice) => self.handle_notice(notice),
             CoreEvent::ExecutorConnected(outbox) => self.host.reconnect(outbox),
             CoreEvent::ExecutorDisconnected => self.host.executor.outbox = None,
@@ -844,6 +840,15 @@
         }
     }
 
+    /// Withdraws all open requests of a closed connection. The next one is looked up each time, since a withdrawal can
+    /// hand its request to another attempt of the same connection, whose own slot is then released. The newest goes
+    /// first: a retry leaves before the attempt that it would take over.
+    fn handle_connection_closed(&mut self, peer: &Peer) {
+        while let Some(slot) = peer.newest_open_request() {
+            self.handle_client_left(slot);
+        }
+    }
+
     fn handle_client_left(&mut self, slot: RequestSlot) {
         add(&self.host.counters.caller_left);
         self.host.detach_client(slot);
--- a/crates/server/src/core/incoming.rs
+++ b/crates/server/src/core/incoming.rs
@@ -194,6 +194,10 @@
             self.reject_malformed(counters, stream, RequestError::Malformed, what);
         }
     }
+    /// Slot of the request that was attached to this connection last, of those that are owed a response.
+    pub fn newest_open_request(&self) -> Option<RequestSlot> {
+        self.open_requests.borrow().last().map(|(_, slot)| *slot)
+    }
     /// No request is open or queued, and nothing waits to be written.
     pub fn is_idle(&self) -> bool {
         self.queued_requests.get() == 0 && self.open_requests.borrow().is_empty() && self.outbox.is_empty()
--- a/crates/server/tests/core.rs
+++ b/crates/server/tests/core.rs
@@ -338,3 +338,156 @@
     scenario.run_line("68301 a sends 4100 fffe unique=new");
     scenario.run_line("expect kernel SCHED fffe ask");
 }
+
+/// Guards against a crash: a connection that ends with several attempts of one request open withdraws each of them, although the
+/// end of the first hands its request to a later one and releases that one's slot. Other connections are served on.
+#[test]
+fn a_connection_that_ends_with_several_attempts_of_one_request_withdraws_each() {
+    let reap = |serial: u32, txn: &str| {
+        format!(
+            r#"kernel {{"msg":"REAP","serial":{serial},"call":"{txn:0>16}","how":"OK","duration":30,"blob":"cmVzdWx0"}}"#
+        )
+    };
+    let table: [(&str, &[&str]); 8] = [
+        (
+            "the first attempt runs",
+            &["10 a sends 1 1 unique=k", "20 a sends 2 2 unique=k", "30 a closes", "owed 1", "50 REAP 1"],
+        ),
+        (
+            "three attempts, the first of which runs",
+            &[
+                "10 a sends 1 1 unique=k",
+                "20 a sends 2 2 unique=k",
+                "20 a sends 3 3 unique=k",
+                "30 a closes",
+                "owed 1",
+                "50 REAP 1",
+            ],
+        ),
+        (
+            "two requests of two attempts each",
+            &[
+                "10 a sends 1 1 unique=k",
+                "10 a sends 2 2 unique=other",
+                "20 a sends 3 3 unique=k",
+                "20 a sends 4 4 unique=other",
+                "30 a closes",
+                "owed 1",
+                "50 REAP 1",
+                "50 REAP 2",
+            ],
+        ),
+        (
+            "the first attempt waits for its downstream call",
+            &[
+                "10 a sends 1 1 unique=k",
+                r#"15 kernel {"msg":"IOREQ","serial":1,"call":"0000000000000001","blob":"cHV0"}"#,
+                "expect ledger post 1",
+                "20 a sends 2 2 unique=k",
+                "30 a closes",
+                "owed 1",
+                "50 REAP 1",
+                "expect ledger abandon 1",
+            ],
+        ),
+        (
+            "the first attempt was sent again after the second",
+            &[
+                "10 c sends 1 1 unique=k",
+                "11 c told",
+                "12 a sends 1 2 unique=k",
+                "13 a sends 2 1 unique=k",
+                "30 a closes",
+                "owed 1",
+                "50 REAP 1",
+                "refuse c 1",
+            ],
+        ),
+        (
+            "a third attempt on another connection gets the result",
+            &[
+                "10 a sends 1 1 unique=k",
+                "20 a sends 2 2 unique=k",
+                "20 c sends 1 3 unique=k",
+                "30 a closes",
+                "owed 2",
+                "50 REAP 1",
+                "expect c 1 succeeded result",
+            ],
+        ),
+        (
+            "the first attempt is on another connection",
+            &[
+                "10 c sends 1 1 unique=k",
+                "20 a sends 1 2 unique=k",
+                "20 a sends 2 3 unique=k",
+                "30 a closes",
+                "owed 2",
+                "50 REAP 1",
+                "expect c 1 succeeded result",
+            ],
+        ),
+        ("no other attempt", &["10 a sends 1 1 unique=k", "30 a closes", "owed 1", "50 REAP 1"]),
+    ];
+    for (name, steps) in table {
+        println!("{name}");
+        let mut scenario = Scenario::start(&[
+            r#"/settings/categories/1/effect "dedup""#,
+            r#"/settings/categories/1/memory_span_ns 2000000000"#,
+        ]);
+        scenario.run_line(r#"0 kernel {"msg":"BOOTED","how":"WARM","duration":60000}"#);
+        scenario.run_line("0 link");
+        scenario.run_line("5 b sends 1 b verb=report");
+        for step in steps {
+            match step.split_once(" REAP ") {
+                Some((at, txn)) => {
+                    scenario.run_line(&format!("{at} {}", reap(txn.parse().expect("a txn"), txn)));
+                    scenario.run_line("refuse a");
+                }
+                None => scenario.run_line(step),
+            }
+        }
+        scenario.run_line(&format!("60 {}", reap(9, "b")));
+        scenario.run_line("expect b 1 succeeded result");
+        scenario.run_line("owed 0");
+        // The request ran once: another attempt gets its result.
+        scenario.run_line("70 b sends 2 c unique=k");
+        scenario.run_line("refuse kernel SCHED");
+        scenario.run_line("expect b 2 succeeded result");
+    }
+}
+
+/// Guards against a crash, and against a run for nobody: a queued request ends with the connection that all its attempts came on,
+/// and its idempotency key is free again.
+#[test]
+fn a_connection_that_ends_takes_a_queued_request_and_all_its_attempts_with_it() {
+    let mut scenario = Scenario::start(&[
+        r#"/settings/categories/1/effect "dedup""#,
+        r#"/settings/categories/1/memory_span_ns 2000000000"#,
+        "/settings/specifics/cores 1",
+        "/settings/obligations/tip_multiple 1.1",
+    ]);
+    let reap = |serial: u32, txn: &str| {
+        format!(
+            r#"kernel {{"msg":"REAP","serial":{serial},"call":"{txn:0>16}","how":"OK","duration":30,"blob":"cmVzdWx0"}}"#
+        )
+    };
+    scenario.run_line(r#"0 kernel {"msg":"BOOTED","how":"WARM","duration":60000}"#);
+    scenario.run_line("0 link");
+    scenario.run_line("0 b sends 1 b verb=report");
+    scenario.run_line("expect kernel SCHED b");
+    scenario.run_line("1 a sends 1 1 unique=k");
+    scenario.run_line("refuse kernel SCHED 1");
+    scenario.run_line("2 a sends 2 2 unique=k");
+    scenario.run_line("owed 3");
+    scenario.run_line("3 a closes");
+    scenario.run_line("owed 1");
+    scenario.run_line(&format!("30 {}", reap(1, "b")));
+    scenario.run_line("expect b 1 succeeded result");
+    scenario.run_line("refuse kernel SCHED");
+    scenario.run_line("owed 0");
+    scenario.run_line("40 b sends 2 3 unique=k");
+    scenario.run_line("expect kernel SCHED 3 ask");
+    scenario.run_line(&format!("50 {}", reap(2, "3")));
+    scenario.run_line("expect b 2 succeeded result");
+}
