Core: a retry that was answered and released is forgotten, not confused with the next

What callers saw: nothing on record; an idempotent request was stopped at its start and failed, although its client waited.

Cause: a retry that gets its first attempt's response goes on the list `replayed`, for the scheduler to be told. The list was worked off after arrivals and ends of runs only. Where the first attempt failed by its timer, or its connection was closed for a violation, the retry's own timer or its connection's end released its slot meanwhile; the next arrival took the slot and was reported as left by its client.

Change: releasing a slot takes it off the list, in the one place where all that is attached to a slot is released; the list is worked off at the end of each event and tick. fail_open_requests asks the connection for its next open request, as the end of a connection does.

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -401,6 +401,12 @@
     /// Handles one event from the queue; `unix_time` is the system clock in tenths of a millisecond.
     pub fn handle_event(&mut self, now: Time, unix_time: Time, event: CoreEvent) {
         (self.host.now, self.host.unix_time) = (now, unix_time);
+        self.dispatch_event(unix_time, event);
+        self.release_replayed();
+    }
+
+    fn dispatch_event(&mut self, unix_time: Time, event: CoreEvent) {
+        let now = self.host.now;
         match event {
             CoreEvent::RequestArrived { peer, stream, request } => {
                 self.handle_arrival(unix_time, peer, stream, request)
@@ -563,6 +569,7 @@
         let fresh = now - self.host.gauges_at <= MAX_GAUGES_AGE;
         let gauges = if fresh { self.host.gauges } else { Gauges::default() };
         self.with_scheduler(|scheduler, now, host| scheduler.tick(now, gauges, host));
+        self.release_replayed();
     }
 
     fn update_slow_start_limit(&self) {
@@ -779,7 +786,6 @@
         });
         host.attach_client(arrival.slot, peer, stream);
         scheduler.handle_arrival(host.now, arrival, host);
-        self.release_replayed();
     }
 
     /// Releases requests that were answered by another request's result: the scheduler is done with them too.
@@ -870,9 +876,7 @@
     /// Fails all open requests of a connection. Protects the queue and the concurrency limit from a client whose other
     /// requests can't be carried out either.
     fn fail_open_requests(&mut self, peer: &Rc<Peer>) {
-        let open_slots: Vec<RequestSlot> =
-            peer.open_requests.borrow().iter().map(|(_, slot)| *slot).collect();
-        for slot in open_slots {
+        while let Some(slot) = peer.newest_open_request() {
             self.host.respond(slot, ResponseStatus::Failed(FailureCause::ExecutionFailed), b"");
             self.with_scheduler(|scheduler, now, host| scheduler.handle_client_disconnect(now, slot, host));
         }
@@ -969,7 +973,6 @@
         let request = self.host.request(slot);
         (request.run_state, request.stop_requested) = (RunState::Idle, false);
         self.with_scheduler(|scheduler, now, host| scheduler.handle_run_completed(now, slot, outcome, host));
-        self.release_replayed();
         // The entry may stay for as long as a retry can arrive; its buffers are released.
         if let Some(request) = self.host.requests[slot].as_mut().filter(|request| request.client.is_none()) {
             request.payload.release();
@@ -1551,6 +1554,7 @@
         self.respond_failed(slot); // no request is released without a response
         self.cancel_call(slot);
         if let Some(request) = self.requests[slot].take() {
+            self.replayed.retain(|replayed| *replayed != slot);
             if let Some(persistence) = self.persistence.as_mut() {
                 persistence.followers.retain(|(_, follower)| *follower != slot);
                 if let Some(idempotency_key) = &request.idempotency_key {
--- a/crates/server/tests/core.rs
+++ b/crates/server/tests/core.rs
@@ -491,3 +491,41 @@
     scenario.run_line(&format!("50 {}", reap(2, "3")));
     scenario.run_line("expect b 2 succeeded result");
 }
+
+/// Guards other clients' requests: a retry that was answered with its first attempt's failure and then released is forgotten, and a
+/// new request in its slot keeps its client.
+#[test]
+fn a_retry_that_was_answered_and_released_leaves_the_next_request_in_its_slot_alone() {
+    let start = || {
+        let mut scenario = Scenario::start(&[
+            r#"/settings/categories/1/effect "dedup""#,
+            r#"/settings/categories/1/memory_span_ns 20000000000"#,
+        ]);
+        scenario.run_line(r#"0 kernel {"msg":"BOOTED","how":"WARM","duration":60000}"#);
+        scenario.run_line("0 link");
+        scenario.run_line("10 a sends 1 1 unique=k");
+        scenario.run_line("40 a sends 2 2 unique=k");
+        scenario
+    };
+    let run_next = |mut scenario: Scenario, ms: u32| {
+        scenario.run_line(&format!("{ms} b sends 1 3 verb=report"));
+        scenario.run_line("expect kernel SCHED 3");
+        scenario.run_line("refuse kernel PREEMPT 3");
+        let reap = r#""msg":"REAP","serial":1,"call":"0000000000000003","how":"OK","duration":5,"blob":"cmVzdWx0""#;
+        scenario.run_line(&format!("{} kernel {{{reap}}}", ms + 10));
+        scenario.run_line("expect b 1 succeeded result");
+    };
+    println!("both attempts run out of time, the retry a little later");
+    let mut scenario = start();
+    scenario.run_line("3015 pass");
+    scenario.run_line("expect a 1 errored");
+    scenario.run_line("expect a 2 errored");
+    scenario.run_line("3100 pass");
+    run_next(scenario, 3200);
+    println!("the connection is closed for a violation");
+    let mut scenario = start();
+    scenario.run_line("50 a sends 3 1 body=other unique=k3");
+    scenario.run_line("expect a 1 errored");
+    scenario.run_line("expect a 2 errored");
+    run_next(scenario, 60);
+}
