--- a/crates/server/tests/core.rs
+++ b/crates/server/tests/core.rs
@@ -511,7 +511,8 @@
         scenario.run_line(&format!("{ms} b sends 1 3 verb=report"));
         scenario.run_line("expect kernel SCHED 3");
         scenario.run_line("refuse kernel PREEMPT 3");
-        let reap = r#""msg":"REAP","serial":1,"call":"0000000000000003","how":"OK","duration":5,"blob":"cmVzdWx0""#;
+        let reap =
+            r#""msg":"REAP","serial":1,"call":"0000000000000003","how":"OK","duration":5,"blob":"cmVzdWx0""#;
         scenario.run_line(&format!("{} kernel {{{reap}}}", ms + 10));
         scenario.run_line("expect b 1 succeeded result");
     };
