Relay tests: name for each safeguard the promises that fall without it

Cause: each_disabled_safeguard_is_detected wanted the words of one promise for each safeguard that is off. Without the recovery wait a new incarnation speaks for members that hold leases of the former one, and it speaks in two reports: its vote, and in a barrier that all have stopped.

Both step lists break their promise without the wait and none with it.

Change: violations are typed; the table names two promises for the recovery wait and one for each other safeguard, and no other passes. A recorded test holds both of the two, so the check is no weaker: what the table allows is shown to fall, and shown to hold with the safeguard on.

--- a/crates/rollout-relay/tests/properties.rs
+++ b/crates/rollout-relay/tests/properties.rs
@@ -8,12 +8,12 @@
 use cypresscleat_rollout::{MemberKey, Time, MS, SECOND};
 use cypresscleat_rollout_relay::relay::{DisabledSafeguards, Relay, RelayOutput, MAX_MEMBERS};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, TestRunner};
+use proptest::test_runner::{Config, TestError, TestRunner};
 use std::collections::{BTreeMap, VecDeque};
 
 const LEASE: Time = SECOND;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Step {
     AdvanceTime(Time),
     /// A member sends a heartbeat: with its vote for or against the change that it was told of, or none; and whether it has stopped.
@@ -55,6 +55,31 @@
     ]
 }
 
+/// What a relay promises, to the replicas above it or about the leases below it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Promise {
+    /// It votes for a change only after each member that holds a lease has.
+    VoteAfterMembers,
+    /// It reports that all have stopped only after each member that holds a lease has.
+    StopAfterMembers,
+    /// Once it has voted, only members that have voted get a lease.
+    LeaseAfterVote,
+    /// Once it has reported that all have stopped, only members that have get a lease.
+    LeaseAfterStop,
+    /// No lease of a member outlasts the relay's own.
+    LeaseWithinOwn,
+    /// Its totals never decrease.
+    GrowingTotals,
+    /// Its timers come to rest.
+    Rest,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Violation {
+    promise: Promise,
+    description: String,
+}
+
 /// What a member has reported in this incarnation, and what it was told.
 #[derive(Clone, Copy, Default)]
 struct Member {
@@ -100,7 +125,7 @@
     /// After that the replicas take the relay to be gone.
     relay_lease_ends_at: Time,
     reported_requests: u64,
-    violation: Option<String>,
+    violation: Option<Violation>,
 }
 
 impl Harness {
@@ -140,8 +165,8 @@
         self.run_relay(|relay, now| relay.tick(now));
     }
 
-    fn record_violation(&mut self, violation: String) {
-        self.violation.get_or_insert(violation);
+    fn record_violation(&mut self, promise: Promise, description: String) {
+        self.violation.get_or_insert(Violation { promise, description });
     }
 
     fn process_output(&mut self, output: RelayOutput<usize>) {
@@ -150,7 +175,7 @@
                 Request::Heartbeat { number, verdict, paused, totals: reported, .. } => {
                     self.heartbeats.push_back((number, self.now));
                     if std::mem::replace(&mut self.reported_requests, reported.requests) > reported.requests {
-                        self.record_violation("totals decreased".into());
+                        self.record_violation(Promise::GrowingTotals, "totals decreased".into());
                     }
                     if let Some((change, Verdict::Prepared)) =
                         verdict.filter(|verdict| verdict.0 > self.version)
@@ -191,9 +216,10 @@
     fn check_vote(&mut self, change: u64, number: u32) {
         if self.binding_vote.is_none_or(|vote| vote.0 < change) {
             if let Some((key, voted)) = self.find_lease(|lease| lease.1 < change) {
-                self.record_violation(format!(
-                    "vote for {change} while {key:?} has a lease and voted for {voted} at most"
-                ));
+                self.record_violation(
+                    Promise::VoteAfterMembers,
+                    format!("vote for {change} while {key:?} has a lease and voted for {voted} at most"),
+                );
             }
             self.binding_vote = Some((change, number));
             if self.unreachable == UnreachableMembers::Wait {
@@ -206,9 +232,10 @@
     /// The relay reports that all have stopped for a change.
     fn check_stop(&mut self, change: u64) {
         if let Some((key, _)) = self.find_lease(|lease| lease.2 < change) {
-            self.record_violation(format!(
-                "stopped for {change} while {key:?} has a lease and has not stopped"
-            ));
+            self.record_violation(
+                Promise::StopAfterMembers,
+                format!("stopped for {change} while {key:?} has a lease and has not stopped"),
+            );
         }
         self.stopped = change;
     }
@@ -220,19 +247,25 @@
         }
         let end = self.now.saturating_add(lease);
         if end >= self.relay_lease_ends_at || lease > LEASE {
-            self.record_violation(format!(
-                "a lease until {end}, the relay's own ends at {}",
-                self.relay_lease_ends_at
-            ));
+            self.record_violation(
+                Promise::LeaseWithinOwn,
+                format!("a lease until {end}, the relay's own ends at {}", self.relay_lease_ends_at),
+            );
         }
         let given = self.leases.entry(key).or_default();
         let (voted, stopped) = (given.1, given.2);
         given.0 = given.0.max(end);
         if self.binding_vote.is_some_and(|vote| vote.0 > self.version && voted < vote.0) {
-            self.record_violation(format!("a lease to {key:?} after a vote for {:?}", self.binding_vote));
+            self.record_violation(
+                Promise::LeaseAfterVote,
+                format!("a lease to {key:?} after a vote for {:?}", self.binding_vote),
+            );
         }
         if self.stopped > version.max(self.version) && stopped < self.stopped {
-            self.record_violation(format!("a lease to {key:?} after all have stopped for {}", self.stopped));
+            self.record_violation(
+                Promise::LeaseAfterStop,
+                format!("a lease to {key:?} after all have stopped for {}", self.stopped),
+            );
         }
     }
 
@@ -310,7 +343,10 @@
                     self.run_relay(|relay, now| relay.tick(now));
                     ticks += 1;
                     if ticks > 2_000 {
-                        self.record_violation("the relay has something to do without end".into());
+                        self.record_violation(
+                            Promise::Rest,
+                            "the relay has something to do without end".into(),
+                        );
                         break;
                     }
                 }
@@ -489,22 +525,45 @@
     }
 }
 
-/// Runs random steps with these safeguards disabled. The error is the shortest run that violates an invariant.
+/// A run that breaks a promise.
+#[derive(Debug, PartialEq)]
+struct Counterexample {
+    violation: Option<Violation>,
+    steps: Vec<Step>,
+}
+
+/// The first promise that these steps break.
+fn first_violation(
+    unreachable: UnreachableMembers,
+    safeguards: DisabledSafeguards,
+    steps: &[Step],
+) -> Option<Violation> {
+    let mut harness = Harness::new(unreachable, safeguards);
+    steps.iter().find_map(|step| {
+        harness.run_step(*step);
+        harness.violation.clone()
+    })
+}
+
+/// Runs random steps with these safeguards disabled. The error is the shortest run found that breaks a promise.
 fn run_random_steps(
     unreachable: UnreachableMembers,
     safeguards: DisabledSafeguards,
     cases: u32,
-) -> Result<(), String> {
-    let mut runner = TestRunner::new(Config { cases, failure_persistence: None, ..Config::default() });
-    let result = runner.run(&proptest::collection::vec(any_step(), 1..120), |steps| {
-        let mut harness = Harness::new(unreachable, safeguards);
-        for step in steps {
-            harness.run_step(step);
-            prop_assert!(harness.violation.is_none(), "{:?}", harness.violation);
-        }
+) -> Result<(), Counterexample> {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    println!("{unreachable:?}, {safeguards:?}: {}", config.rng_seed);
+    let result = TestRunner::new(config).run(&proptest::collection::vec(any_step(), 1..120), |steps| {
+        let violation = first_violation(unreachable, safeguards, &steps);
+        prop_assert!(violation.is_none(), "{violation:?}");
         Ok(())
     });
-    result.map_err(|error| error.to_string())
+    result.map_err(|error| match error {
+        TestError::Fail(_, steps) => {
+            Counterexample { violation: first_violation(unreachable, safeguards, &steps), steps }
+        }
+        TestError::Abort(reason) => panic!("the random steps were not run: {reason}"),
+    })
 }
 
 fn run_steps(unreachable: UnreachableMembers, steps: &[Step]) {
@@ -569,36 +628,85 @@
     }
 }
 
+/// The promises that rest on each safeguard: with the safeguard off, one of them falls and no other.
 #[test]
 fn each_disabled_safeguard_is_detected() {
-    for (unreachable, safeguards, message) in [
+    use Promise::{LeaseAfterVote, LeaseWithinOwn, StopAfterMembers, VoteAfterMembers};
+    let none = DisabledSafeguards::default();
+    let table: [(UnreachableMembers, DisabledSafeguards, &[Promise]); 5] = [
         (
             UnreachableMembers::Fence,
-            DisabledSafeguards { vote_before_members: true, ..DisabledSafeguards::default() },
-            "vote for",
+            DisabledSafeguards { vote_before_members: true, ..none },
+            &[VoteAfterMembers],
         ),
         (
             UnreachableMembers::Fence,
-            DisabledSafeguards { outlast_own_lease: true, ..DisabledSafeguards::default() },
-            "the relay's own ends",
+            DisabledSafeguards { outlast_own_lease: true, ..none },
+            &[LeaseWithinOwn],
         ),
         (
             UnreachableMembers::Wait,
-            DisabledSafeguards { lease_without_vote: true, ..DisabledSafeguards::default() },
-            "a lease to",
+            DisabledSafeguards { lease_without_vote: true, ..none },
+            &[LeaseAfterVote],
         ),
         (
             UnreachableMembers::Wait,
-            DisabledSafeguards { stop_before_members: true, ..DisabledSafeguards::default() },
-            "stopped for",
+            DisabledSafeguards { stop_before_members: true, ..none },
+            &[StopAfterMembers],
         ),
+        // A new incarnation speaks for members that hold leases of the former one: in its vote, and in a barrier in its report that all
+        // have stopped.
         (
             UnreachableMembers::Wait,
-            DisabledSafeguards { skip_recovery_wait: true, ..DisabledSafeguards::default() },
-            "vote for",
+            DisabledSafeguards { skip_recovery_wait: true, ..none },
+            &[VoteAfterMembers, StopAfterMembers],
         ),
-    ] {
+    ];
+    for (unreachable, safeguards, promises) in table {
         let found = run_random_steps(unreachable, safeguards, 20_000);
-        assert!(found.as_ref().is_err_and(|why| why.contains(message)), "{safeguards:?}: {found:?}");
+        let violation = found.as_ref().err().and_then(|found| found.violation.as_ref());
+        assert!(
+            violation.is_some_and(|violation| promises.contains(&violation.promise)),
+            "{safeguards:?}, not one of {promises:?}: {found:?}"
+        );
+    }
+}
+
+/// Guards the table above: both promises that it names for the recovery wait fall without the wait, and hold with it.
+#[test]
+fn the_recovery_wait_keeps_both_the_vote_and_the_report_that_all_have_stopped() {
+    let (vote, has_stopped) = (None, false);
+    let vote_of_a_new_incarnation = [
+        Step::Propose(false),
+        Step::Respond(false),
+        Step::Persist(true),
+        Step::Heartbeat { member: 0, vote, has_stopped },
+        Step::Respond(false),
+        Step::Persist(true),
+        Step::RestartRelay,
+        Step::Respond(false),
+    ];
+    let barrier_of_a_new_incarnation = [
+        Step::Respond(false),
+        Step::Persist(true),
+        Step::Propose(true),
+        Step::Respond(false),
+        Step::Persist(true),
+        Step::AdvanceTime(10),
+        Step::AdvanceTime(10),
+        Step::Decide,
+        Step::Heartbeat { member: 0, vote, has_stopped },
+        Step::Heartbeat { member: 0, vote: Some(true), has_stopped },
+        Step::RestartRelay,
+        Step::Respond(false),
+    ];
+    let without_wait = DisabledSafeguards { skip_recovery_wait: true, ..DisabledSafeguards::default() };
+    for (promise, steps) in [
+        (Promise::VoteAfterMembers, &vote_of_a_new_incarnation[..]),
+        (Promise::StopAfterMembers, &barrier_of_a_new_incarnation[..]),
+    ] {
+        let violation = first_violation(UnreachableMembers::Wait, without_wait, steps);
+        assert_eq!(violation.map(|violation| violation.promise), Some(promise));
+        run_steps(UnreachableMembers::Wait, steps);
     }
 }
