--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -26,6 +26,8 @@
 
 /// Upper bound of each wait in the stand-ins.
 pub const TIMEOUT: Duration = Duration::from_secs(30);
+/// Upper bound of the time from the end of a process' log to its exit.
+const EXIT_AFTER_LOG: Duration = Duration::from_secs(5);
 
 pub fn unix_ms() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis())
@@ -692,10 +694,12 @@
         loop {
             let left = until.saturating_duration_since(Instant::now());
             let line = self.log.recv_timeout(left).unwrap_or_else(|error| {
-                let end = match self.process.borrow_mut().try_wait() {
-                    Ok(Some(status)) => format!("the process ended with {status}"),
-                    _ if error == RecvTimeoutError::Disconnected => "the process closed its log".to_string(),
-                    _ => "the process is still running".to_string(),
+                let end = match self.exit_after_log(error) {
+                    Some(status) => format!("the process ended with {status}"),
+                    None if error == RecvTimeoutError::Disconnected => {
+                        "the process closed its log".to_string()
+                    }
+                    None => "the process is still running".to_string(),
                 };
                 panic!("no log line contains {words:?}; {end}; log: {:#?}", self.seen_lines.borrow())
             });
@@ -705,6 +709,18 @@
             }
         }
     }
+    /// The exit status of the process. Where it has closed its log it is given `EXIT_AFTER_LOG` to end: the log closes first.
+    fn exit_after_log(&self, log_error: RecvTimeoutError) -> Option<ExitStatus> {
+        let has_closed_log = log_error == RecvTimeoutError::Disconnected;
+        let until = Instant::now() + if has_closed_log { EXIT_AFTER_LOG } else { Duration::ZERO };
+        loop {
+            let status = self.process.borrow_mut().try_wait().ok().flatten();
+            if status.is_some() || Instant::now() >= until {
+                return status;
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
     /// Whether a log line written until now contains `words`.
     pub fn has_logged(&self, words: &str) -> bool {
         self.seen_lines.borrow_mut().extend(self.log.try_iter());
