Forwarder: the slots at its workers are summed up, so that they cannot drift

Cause: LoadBalancer::slots was a running sum. set_worker overwrote a worker's slots before update_eligibility took them out, so it took out the new number in place of the one that had been added. The sum ignored changes of an eligible worker, and a worker lost with more slots than it had come with took more than it gave.

Evidence: a process test with a scripted planner that grants twice the configured slots, without the change: planner lost, served; workers paused, served; both, 40 of 40 requests rejected after their time in the queue, as 8 were added, 16 taken and 8 added. The property without the change: set_worker(3, 1.0, healthy), set_worker(3, 1.25, not): -0.25.

Change: the sum is derived from the eligible workers at each call (one addition a worker, per tick of the core). A forwarder now also follows its grants while its workers stay healthy.

Cost of the sum: not measured.

--- a/crates/forwarding/src/load_balancer.rs
+++ b/crates/forwarding/src/load_balancer.rs
@@ -125,8 +125,6 @@
     sampled_loads: Vec<u32>,
     next_sample: usize,
     in_flight: u64,
-    /// Concurrency slots at all eligible workers.
-    slots: f64,
     rng: SeededRng,
     full_scans: u64,
 }
@@ -142,7 +140,6 @@
             sampled_loads: vec![0; REMEMBERED_LOADS],
             next_sample: 0,
             in_flight: 0,
-            slots: 0.0,
             rng: SeededRng::new(seed),
             full_scans: 0,
         }
@@ -163,9 +160,9 @@
         self.in_flight
     }
 
-    /// Concurrency slots at all eligible workers.
+    /// Concurrency slots at all eligible workers. Summed up at each call: the slots of a worker change while it is eligible.
     pub fn slots(&self) -> f64 {
-        self.slots
+        self.eligible.iter().fold(0.0, |sum, index| sum + self.workers[*index].slots)
     }
 
     /// Attempts in flight at one worker.
@@ -218,7 +215,6 @@
 
     fn remove_from_eligible(&mut self, index: usize) {
         if let Some(position) = self.workers[index].eligible_index.take() {
-            self.slots -= self.workers[index].slots;
             self.eligible.swap_remove(position);
             if let Some(moved) = self.eligible.get(position).copied() {
                 self.workers[moved].eligible_index = Some(position);
@@ -232,7 +228,6 @@
         let worker = &mut self.workers[index];
         if worker.accepts_work && worker.slots >= 1.0 && worker.eligible_from <= now {
             worker.eligible_index = Some(self.eligible.len());
-            self.slots += worker.slots;
             self.eligible.push(index);
         }
     }
--- a/crates/forwarding/tests/load_balancer.rs
+++ b/crates/forwarding/tests/load_balancer.rs
@@ -158,3 +158,103 @@
         }
     }
 }
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Slots in quarters, so that every sum of them is exact.
+    SetWorker {
+        id: NodeId,
+        quarter_slots: u32,
+        accepts_work: bool,
+    },
+    RemoveWorker(NodeId),
+    StartAttempt,
+    EndAttempt {
+        outcome: AttemptOutcome,
+        retry_after: Time,
+    },
+    /// A worker fails as often as it takes to eject it.
+    FailOften(NodeId),
+    AdvanceTime(Time),
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let outcome = prop_oneof![
+        Just(AttemptOutcome::Succeeded),
+        Just(AttemptOutcome::Rejected),
+        Just(AttemptOutcome::Failed),
+        Just(AttemptOutcome::ConnectionLost),
+        Just(AttemptOutcome::Cancelled),
+    ];
+    prop_oneof![
+        6 => (0..6u64, 0..40u32, 0..4u8).prop_map(|(id, quarter_slots, health)| Step::SetWorker {
+            id,
+            quarter_slots,
+            accepts_work: health > 0,
+        }),
+        1 => (0..6u64).prop_map(Step::RemoveWorker),
+        6 => Just(Step::StartAttempt),
+        4 => (outcome, 0..3i64).prop_map(|(outcome, hint)| Step::EndAttempt { outcome, retry_after: hint * 1_000 }),
+        1 => (0..6u64).prop_map(Step::FailOften),
+        3 => (1..100_000i64).prop_map(Step::AdvanceTime),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a forwarder that starts nothing although its workers are healthy: after any order of changes its slots are those
+    /// of the eligible workers as they were set last, and its attempts in flight are those that have started there and not ended.
+    #[test]
+    fn slots_and_attempts_are_those_of_the_workers_after_any_order_of_changes(
+        steps in proptest::collection::vec(any_step(), 0..200),
+    ) {
+        let mut balancer = LoadBalancer::new(3);
+        let mut slots: BTreeMap<NodeId, f64> = BTreeMap::new();
+        let mut in_flight: Vec<NodeId> = Vec::new();
+        let mut now = 0;
+        for step in steps {
+            match step {
+                Step::SetWorker { id, quarter_slots, accepts_work } => {
+                    let new_slots = f64::from(quarter_slots) / 4.0;
+                    balancer.set_worker(now, id, new_slots, accepts_work);
+                    slots.insert(id, new_slots);
+                }
+                Step::RemoveWorker(id) => {
+                    balancer.remove_worker(id);
+                    slots.remove(&id);
+                    in_flight.retain(|worker| *worker != id);
+                }
+                Step::StartAttempt => {
+                    if let Some(id) = balancer.choose(None, &[]) {
+                        prop_assert!(balancer.record_start(id));
+                        in_flight.push(id);
+                    }
+                }
+                Step::EndAttempt { outcome, retry_after } => {
+                    if let Some(id) = in_flight.pop() {
+                        balancer.record_end(now, id, outcome, 100, retry_after);
+                    }
+                }
+                Step::FailOften(id) => {
+                    for _ in 0..20 {
+                        if balancer.record_start(id) {
+                            balancer.record_end(now, id, AttemptOutcome::Failed, 100, 0);
+                        }
+                    }
+                }
+                Step::AdvanceTime(time) => {
+                    now += time;
+                    balancer.tick(now);
+                }
+            }
+            let eligible = slots.iter().filter(|(id, _)| balancer.is_eligible(**id));
+            prop_assert_eq!(balancer.slots(), eligible.map(|(_, slots)| slots).sum::<f64>(), "after {:?}", step);
+            prop_assert_eq!(balancer.in_flight(), in_flight.len() as u64, "after {:?}", step);
+            for id in slots.keys() {
+                let at_worker = in_flight.iter().filter(|worker| *worker == id).count();
+                prop_assert_eq!(balancer.in_flight_at(*id) as usize, at_worker, "after {:?}", step);
+            }
+        }
+    }
+}
--- a/crates/server/tests/planners.rs
+++ b/crates/server/tests/planners.rs
@@ -2,6 +2,7 @@
 //! case each client gets its response in time, and no request runs twice.
 
 use cypresscleat_demo::tier::{ran_twice, send_steadily, TwoLevels};
+use cypresscleat_demo::TIMEOUT;
 use cypresscleat_forwarding::grants::GRANT_DURATION;
 use cypresscleat_forwarding::messages::{self, Decoded, Envelope, Grant, Message};
 use cypresscleat_forwarding::{node_id, NodeId};
@@ -10,11 +11,15 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cypresscleat-server");
 const CONFIG: &str = include_str!("../../demo/config.json");
 
+/// Upper bound of the time in which a forwarder finds its workers again: the interval of the health checks and one check, each 0.5 s,
+/// four times over for a busy machine.
+const MAX_RECOVERY_TIME: Duration = Duration::from_secs(4);
+
 /// The datagrams that the planner sends in response to its `count`-th report.
 type Script = fn(
     count: u32,
@@ -93,6 +98,16 @@
     levels.forwarders[0].as_ref().expect("the forwarder is running").logged(words)
 }
 
+/// Waits for a line that may stand in the log already.
+fn wait_until_logged(levels: &TwoLevels, words: &str) {
+    let forwarder = levels.forwarders[0].as_ref().expect("the forwarder is running");
+    let until = Instant::now() + TIMEOUT;
+    while !forwarder.has_logged(words) {
+        assert!(Instant::now() < until, "no log line contains {words:?}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
 #[test]
 fn a_planner_that_fails_before_it_decides() {
     run_script("silent", |_, _, _| vec![]);
@@ -215,3 +230,58 @@
     let forwarder = levels.forwarders[0].as_ref().expect("the forwarder is running");
     assert!(!forwarder.has_logged("by its grants"), "the forwarder follows forged grants");
 }
+
+/// Guards against a forwarder that starts nothing after a partition: it had more slots at a worker when the worker was lost than when
+/// the worker was found, and took more from its sum of slots than it had added.
+#[test]
+fn a_forwarder_serves_again_after_any_partition() {
+    let script: Script = |count, report_number, encode_grants| {
+        let doubled = grants().into_iter().map(|grant| Grant { slots: 2 * grant.slots, ..grant }).collect();
+        vec![encode_grants(1 << 16, u64::from(count), report_number, doubled)]
+    };
+    for (name, loses_planner, loses_workers) in
+        [("planner", true, false), ("workers", false, true), ("planner and workers", true, true)]
+    {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        let planner_at = socket.local_addr().expect("an address");
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let planner = start_planner(socket, script, is_cut.clone());
+        let mut levels = TwoLevels::workers(Path::new(PROGRAM), CONFIG, vec![planner_at], 2);
+        levels.forward(1);
+        forwarder_logged(&levels, "takes work");
+        forwarder_logged(&levels, "takes work");
+        wait_until_logged(&levels, "by its grants: epoch 65536, 16 places");
+        let before =
+            send_steadily(&levels.addresses(), &format!("{name} before"), 10, Duration::from_millis(10));
+        assert!(before.iter().all(|got| got.how == "succeeded"), "{name}: {before:?}");
+        is_cut.store(loses_planner, Ordering::Relaxed);
+        let signal_workers = |signal: &str| {
+            let workers = levels.workers.iter().flatten().filter(|_| loses_workers);
+            workers.for_each(|worker| worker.place.signal(signal));
+        };
+        signal_workers("STOP");
+        if loses_workers {
+            forwarder_logged(&levels, "takes none");
+            forwarder_logged(&levels, "takes none");
+        }
+        if loses_planner {
+            forwarder_logged(&levels, "by itself: grants of epoch 65536 ended");
+        }
+        let healed_at = Instant::now();
+        signal_workers("CONT");
+        if loses_workers {
+            forwarder_logged(&levels, "takes work");
+            forwarder_logged(&levels, "takes work");
+        }
+        let recovery_time = healed_at.elapsed();
+        println!("{name}: workers found after {recovery_time:?}");
+        assert!(recovery_time < MAX_RECOVERY_TIME, "{name}: {recovery_time:?}");
+        let after =
+            send_steadily(&levels.addresses(), &format!("{name} after"), 40, Duration::from_millis(10));
+        let failed: Vec<_> = after.iter().filter(|got| got.how != "succeeded").collect();
+        assert!(failed.is_empty(), "{name}: {failed:?}");
+        is_cut.store(true, Ordering::Relaxed);
+        planner.join().expect("the planner thread panicked");
+        assert_eq!(ran_twice(&levels.ran()), 0, "{name}");
+    }
+}
