Scheduler: a test that every count and sum equals a recount after each event

Need: the forwarder's sum of slots drifted. The other running sums had no test that compares them with their parts.

The seeded runs of decisions.rs compare all of them after each event, with pools, quotas, drains, retained entries and changed pools. The memory of a request by phase stands in one function.

Concurrency, queued, queued size, queued memory and running of each pool. All hold; none was changed.

Decisions: unchanged; the recorded digests pass.

With the subtraction from queued_work taken out it fails ("queued work: kept 3004.52, recounted 2000"). Scheduler, concurrency and experiments: passed.

--- a/crates/concurrency/src/snapshot.rs
+++ b/crates/concurrency/src/snapshot.rs
@@ -13,6 +13,10 @@
     pub running: usize,
     /// Number of queued requests.
     pub queued: usize,
+    /// Total size of the queued requests.
+    pub queued_size: f64,
+    /// Memory of the queued requests, in kilobytes.
+    pub queued_kb: f64,
     /// Latest latency divided by the lowest recent latency.
     pub latency_ratio: f64,
 }
@@ -25,6 +29,8 @@
             limit: pool.limit(),
             running: pool.running(),
             queued: pool.queue().len(),
+            queued_size: pool.queue().size_ahead(false),
+            queued_kb: pool.queue().memory_kb(),
             latency_ratio: pool.latency_ratio(),
         });
         snapshots.collect()
--- a/crates/scheduler/src/request_table.rs
+++ b/crates/scheduler/src/request_table.rs
@@ -1,6 +1,6 @@
 //! The open requests, the phase of each request, and the queue, counts and memory use derived from the phases.
 
-use crate::types::{RequestSlot, RetrySafety, Time};
+use crate::types::{RequestSlot, RequestUsage, RetrySafety, Time};
 use cypresscleat_concurrency::rank_index::{RankIndex, RankKey};
 use cypresscleat_concurrency::{ClassUsage, Pools};
 use std::cmp::Ordering;
@@ -73,6 +73,17 @@
     pub(crate) retained_until: Time,
 }
 
+impl RequestState {
+    /// Memory that the request uses in a phase; while it is active, `running_factor` times its own.
+    fn memory_in(&self, phase: Phase, running_factor: f64) -> f64 {
+        match phase {
+            Phase::Queued | Phase::AwaitingResult => self.memory_kb,
+            Phase::Finished => 0.0,
+            Phase::Running | Phase::AwaitingCall | Phase::Calling => self.memory_kb * running_factor,
+        }
+    }
+}
+
 /// Owns the open requests and keeps the queue, the counts and the memory use consistent with their phases.
 #[derive(Default)]
 pub(crate) struct RequestTable {
@@ -219,12 +230,7 @@
         let factor = self.running_memory_factor;
         let Some(request) = self.requests[slot].as_mut() else { return };
         let from = std::mem::replace(&mut request.phase, to);
-        let memory = |phase: Phase| match phase {
-            Phase::Queued | Phase::AwaitingResult => request.memory_kb,
-            Phase::Finished => 0.0,
-            _ => request.memory_kb * factor,
-        };
-        self.used_memory_kb += memory(to) - memory(from);
+        self.used_memory_kb += request.memory_in(to, factor) - request.memory_in(from, factor);
         self.leave_phase(now, slot, from, pools);
         self.enter_phase(now, slot, from, to, pools);
         if to.is_active() && !from.is_active() {
@@ -283,6 +289,35 @@
         }
     }
 
+    /// The counts and sums as they are kept up to date by event.
+    pub(crate) fn usage(&self) -> RequestUsage {
+        RequestUsage {
+            queued: self.queued.len(),
+            running: self.running,
+            calling: self.calling,
+            queued_work: self.queued_work,
+            used_memory_kb: self.used_memory_kb,
+        }
+    }
+
+    /// The same counts and sums over the requests as they are now.
+    pub(crate) fn recount_usage(&self) -> RequestUsage {
+        let mut usage = RequestUsage::default();
+        for request in self.requests.iter().flatten() {
+            usage.queued += usize::from(request.phase == Phase::Queued);
+            usage.running += usize::from(request.phase == Phase::Running);
+            usage.calling += usize::from(request.phase == Phase::Calling);
+            if request.phase == Phase::Queued {
+                usage.queued_work += request.scaled_work;
+            }
+            usage.used_memory_kb += request.memory_in(request.phase, self.running_memory_factor);
+            if request.retained_until > Time::MIN {
+                usage.used_memory_kb += self.retained_entry_kb;
+            }
+        }
+        usage
+    }
+
     /// Counts the queued and running requests of each class, for a change of the pools while requests run.
     pub(crate) fn count_by_class(&self, classes: usize) -> Vec<ClassUsage> {
         let mut counts: Vec<ClassUsage> =
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -16,8 +16,8 @@
 use crate::settings::Settings;
 use crate::slow_start::SlowStart;
 use crate::timers::Timers;
-use crate::types::{Gauges, RequestSlot, StopMode, Time};
-use cypresscleat_concurrency::{Pools, PoolsConfig};
+use crate::types::{Gauges, RequestSlot, RequestUsage, StopMode, Time};
+use cypresscleat_concurrency::{ClassUsage, Pools, PoolsConfig};
 use cypresscleat_primitives::SECOND;
 
 /// Decides which requests one server admits, runs and rejects. Each method reports one event; the decisions go to the
@@ -135,6 +135,21 @@
         &self.pools
     }
 
+    /// The counts and sums over the open requests that decisions rest on, for measurements and tests.
+    pub fn usage(&self) -> RequestUsage {
+        self.requests.usage()
+    }
+
+    /// The same counts and sums, recounted over the open requests; equal to [`Scheduler::usage`] but for rounding.
+    pub fn recount_usage(&self) -> RequestUsage {
+        self.requests.recount_usage()
+    }
+
+    /// The queued and running requests of each class, counted over the open requests.
+    pub fn recount_by_class(&self) -> Vec<ClassUsage> {
+        self.requests.count_by_class(self.estimates.class_count())
+    }
+
     /// The maximum number of requests that all clients together may have outstanding on this server; `None` once the server
     /// has warmed up.
     pub fn slow_start_limit(&self, now: Time) -> Option<f64> {
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -154,3 +154,18 @@
     /// Number of open client connections.
     pub connections: Option<f64>,
 }
+
+/// Counts and sums over the open requests of a scheduler.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RequestUsage {
+    /// Number of queued requests.
+    pub queued: usize,
+    /// Number of requests that hold a concurrency slot.
+    pub running: usize,
+    /// Number of downstream calls in flight.
+    pub calling: usize,
+    /// Total scaled work of the queued requests.
+    pub queued_work: f64,
+    /// Memory of the open requests and of the entries that are retained for retries, in kilobytes.
+    pub used_memory_kb: f64,
+}
--- a/crates/scheduler/tests/decisions.rs
+++ b/crates/scheduler/tests/decisions.rs
@@ -296,7 +296,12 @@
 }
 
 fn simulate(kind: usize) -> Recorder {
-    let mut rng = SeededRng::new(kind as u64);
+    simulate_checked(kind, kind as u64, |_| {})
+}
+
+/// Simulates the kind of run with another seed; `check` sees the scheduler after each event.
+fn simulate_checked(kind: usize, seed: u64, mut check: impl FnMut(&Scheduler)) -> Recorder {
+    let mut rng = SeededRng::new(seed);
     let (mut host, mut now) = (Recorder::default(), 0);
     let mut scheduler = Scheduler::start(now, random_settings(kind, &mut rng), &mut host);
     let mut next_tick = host.timer;
@@ -322,6 +327,7 @@
             5_400 => scheduler.start_draining(now, 40_000, &mut host),
             _ => {}
         }
+        check(&scheduler);
         let slow_start = scheduler.slow_start_limit(now).map(f64::to_bits);
         host.record(slow_start);
     }
@@ -374,3 +380,43 @@
         assert!(seen.contains(&name), "{name} is missing in {seen:?}");
     }
 }
+
+fn assert_close(kept: f64, recounted: f64, what: &str) {
+    let tolerance = 1e-6 * recounted.abs().max(1.0);
+    assert!((kept - recounted).abs() <= tolerance, "{what}: kept {kept}, recounted {recounted}");
+}
+
+/// The pools' counts and sums are those of the queued and running requests of their classes, by the settings of `random_pools`.
+fn assert_pools_match_requests(scheduler: &Scheduler) {
+    let by_class = scheduler.recount_by_class();
+    for pool in scheduler.pools().snapshots() {
+        let classes: &[usize] = match pool.name.as_str() {
+            "fast" => &[0, 3],
+            "bulk" => &[1],
+            _ => &[2, 4],
+        };
+        let of_pool = || by_class.iter().filter(|usage| classes.contains(&usage.class));
+        assert_eq!(pool.queued, of_pool().map(|usage| usage.queued).sum(), "queued in {}", pool.name);
+        assert_eq!(pool.running, of_pool().map(|usage| usage.running).sum(), "running in {}", pool.name);
+        assert_close(pool.queued_size, of_pool().map(|usage| usage.queued_size).sum(), &pool.name);
+        assert_close(pool.queued_kb, of_pool().map(|usage| usage.queued_kb).sum(), &pool.name);
+    }
+}
+
+/// Guards against sums that drift: what is kept up to date by event equals a recount over the requests after each event. `USAGE_SEEDS`
+/// sets the number of seeds for each kind of run.
+#[test]
+fn counts_and_sums_equal_a_recount_after_every_event() {
+    let seeds = std::env::var("USAGE_SEEDS").ok().and_then(|value| value.parse().ok()).unwrap_or(3);
+    for (kind, seed) in (0..RECORDED.len()).flat_map(|kind| (0..seeds).map(move |seed| (kind, 100 + seed))) {
+        println!("kind {kind}, seed {seed}");
+        simulate_checked(kind, seed, |scheduler| {
+            let (kept, recounted) = (scheduler.usage(), scheduler.recount_usage());
+            let counts = |usage: RequestUsage| (usage.queued, usage.running, usage.calling);
+            assert_eq!(counts(kept), counts(recounted));
+            assert_close(kept.queued_work, recounted.queued_work, "queued work");
+            assert_close(kept.used_memory_kb, recounted.used_memory_kb, "used memory");
+            assert_pools_match_requests(scheduler);
+        });
+    }
+}
