Core: a finished request that is kept for its key is not taken for an open one

Cause: check_duplicate took any entry under the request's id for an open request whose client is gone and attached the new connection to it. A keyed request's entry stays with its id after its end, and the scheduler, which holds it for finished, ends it no more. sent_responses was looked at only after that.

Change: the scheduler is asked whether the request is open. Of a finished one the second copy gets the response that was sent, or is new and found by its key. A released entry takes its id with it only while the id still names it. The scenario rig moved to a file of its own, and can have a store.

Other lookups by id: runs' notices and calls' ends reach a finished entry without effect; persisted batches compare the slot.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -135,6 +135,11 @@
         &self.pools
     }
 
+    /// Whether a request is open: admitted, and not finished. The entry of a finished request may be retained for retries.
+    pub fn is_open(&self, slot: RequestSlot) -> bool {
+        self.requests.get(slot).is_some_and(|request| request.phase != Phase::Finished)
+    }
+
     /// The counts and sums over the open requests that decisions rest on, for measurements and tests.
     pub fn usage(&self) -> RequestUsage {
         self.requests.usage()
--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -703,7 +703,9 @@
             Some(IdempotencyRecord { state: KeyState::Open(first), .. }) => EarlierAttempt::Known(*first),
             Some(_) => EarlierAttempt::Released,
         };
-        match host.check_duplicate(request_id, fingerprint, &peer, stream) {
+        let scheduler = self.scheduler.as_ref();
+        let is_open = |slot| scheduler.is_some_and(|scheduler| scheduler.is_open(slot));
+        match host.check_duplicate(request_id, fingerprint, &peer, stream, is_open) {
             DuplicateCheck::New => {}
             DuplicateCheck::SameRequest => return,
             DuplicateCheck::Conflict => {
@@ -1194,7 +1196,7 @@
             );
         }
         // Protects a request that crossed the close of its connection, after this response: it will be sent once more.
-        if peer.is_closed.get() || peer.close_announced_at.get().is_some() {
+        if peer.is_ending() {
             let mut saved_body = self.pool.take();
             saved_body.push(body);
             let expires_at = self.now + RESEND_WINDOW;
@@ -1290,25 +1292,30 @@
     /// answered request it is the same request if its fingerprint matches and its first connection was closing. It does
     /// not run again; the response goes to the connection that sent it last, at most once to each connection. No other
     /// client receives a response by naming its id.
+    ///
+    /// A request that has finished, and whose entry is only retained for its idempotency key, has nothing more to come:
+    /// its second copy gets the response that was sent, or else is new and found again by its key.
     fn check_duplicate(
         &mut self,
         request_id: RequestId,
         fingerprint: u64,
         peer: &Rc<Peer>,
         stream: u32,
+        is_open: impl Fn(RequestSlot) -> bool,
     ) -> DuplicateCheck {
         if let Some(slot) = self.slots_by_id.get(&request_id).copied() {
             let request = self.request(slot);
-            let is_closing = |peer: &Peer| peer.is_closed.get() || peer.close_announced_at.get().is_some();
             if request.fingerprint != fingerprint
-                || request.client.as_ref().is_some_and(|(first, _)| !is_closing(first))
+                || request.client.as_ref().is_some_and(|(first, _)| !first.is_ending())
             {
                 return DuplicateCheck::Conflict;
             }
-            add(&self.counters.resent);
-            self.detach_client(slot);
-            self.attach_client(slot, peer.clone(), stream);
-            return DuplicateCheck::SameRequest;
+            if is_open(slot) {
+                add(&self.counters.resent);
+                self.detach_client(slot);
+                self.attach_client(slot, peer.clone(), stream);
+                return DuplicateCheck::SameRequest;
+            }
         }
         let Some(response) =
             self.sent_responses.iter_mut().find(|response| response.request_id == request_id)
@@ -1561,7 +1568,10 @@
                     persistence.release_key(idempotency_key, slot, request.has_run);
                 }
             }
-            self.slots_by_id.remove(&request.request_id);
+            // The id may stand for the second copy of the request by now.
+            if self.slots_by_id.get(&request.request_id) == Some(&slot) {
+                self.slots_by_id.remove(&request.request_id);
+            }
             self.free_slots.push(slot);
         }
     }
--- a/crates/server/src/core/incoming.rs
+++ b/crates/server/src/core/incoming.rs
@@ -198,6 +198,10 @@
     pub fn newest_open_request(&self) -> Option<RequestSlot> {
         self.open_requests.borrow().last().map(|(_, slot)| *slot)
     }
+    /// The connection is closed, or its client was told to send no new request.
+    pub fn is_ending(&self) -> bool {
+        self.is_closed.get() || self.close_announced_at.get().is_some()
+    }
     /// No request is open or queued, and nothing waits to be written.
     pub fn is_idle(&self) -> bool {
         self.queued_requests.get() == 0 && self.open_requests.borrow().is_empty() && self.outbox.is_empty()
--- /dev/null
+++ b/crates/server/tests/core_cases/scenario.rs
@@ -0,0 +1,287 @@
+//! Drives a core without sockets and without a real clock by lines of text. Notation, times in milliseconds:
+//!   config POINTER JSON               before the start: replaces the value at POINTER in the example configuration
+//!   TIME kernel JSON                  a notice from the executor
+//!   TIME link | unlink                the link to the executor is up and all missed notices were received | is lost
+//!   TIME NAME sends STREAM TXN [FIELD=VALUE ...]   a request on the connection NAME, a frame of kind 2; its body is "ask",
+//!                                     or the value of `body=WORD`
+//!   TIME NAME leaves STREAM           the client no longer waits for the stream
+//!   TIME NAME closes                  the connection is closed
+//!   TIME NAME told                    the client was asked to send no new request on the connection
+//!   TIME ledger TXN OUTCOME           the newest call of the request TXN ended with OUTCOME (words of the downstream
+//!                                     proxy's protocol, or `unreached`, `broken`; the reply of `posted` is "reply")
+//!   TIME term MS                      termination notice
+//!   TIME pass                         only time passes; due ticks run before every event
+//!   expect WORDS | refuse WORDS       some | no output since the last event begins with these words
+//!   owed N                            number of pending responses
+//! Outputs: `kernel MSG TXN [BODY]`, `NAME STREAM succeeded|throttled|errored [BODY]`, `ledger post TXN MS BODY`,
+//! `ledger abandon TXN`. A txn is written without its leading zeros.
+
+use cypresscleat_scheduler::{Outcome, Time};
+use cypresscleat_server::config;
+use cypresscleat_server::core::incoming::{Peer, RequestId};
+use cypresscleat_server::core::persistence::{Persistence, RecoveredState, WriteBatch};
+use cypresscleat_server::core::{Core, CoreEvent, DownstreamCommand, Shared};
+use cypresscleat_server::frames::{self, NextFrame};
+use cypresscleat_server::lines;
+use cypresscleat_server::listeners::frames::{read_request, FrameWriter};
+use cypresscleat_server::pool::{Buf, Outbox, BUFFER_BYTES};
+use cypresscleat_settings::Names;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::mpsc::{sync_channel, Receiver};
+
+const UNIX_AT_START: Time = 17_645_760_000_000;
+
+/// Writes to the store that may wait; more than a scenario makes.
+const STORE_QUEUE: usize = 10_000;
+
+/// Whether there is a store, and when a response is sent: before or after the commit of its billing row. Writes are committed after
+/// each step.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StoreMode {
+    None,
+    RespondBeforeCommit,
+    RespondAfterCommit,
+}
+
+/// A core without sockets and without a real clock, driven by lines of the scenarios' notation.
+pub struct Scenario {
+    pub core: Core,
+    names: Rc<Names>,
+    pub shared: Shared,
+    pub kernel: Rc<Outbox>,
+    pub peers: BTreeMap<String, Rc<Peer>>,
+    call_numbers: BTreeMap<RequestId, u64>,
+    store: Option<Receiver<WriteBatch>>,
+    /// The store is slow: no write is committed until this is unset.
+    pub holds_commits: bool,
+    outputs: Vec<String>,
+    now: Time,
+}
+
+fn padded_txn(word: &str) -> RequestId {
+    format!("{word:0>16}").into_bytes().try_into().expect("a txn of 16 digits at most")
+}
+
+fn without_leading_zeros(txn: &[u8]) -> String {
+    String::from_utf8_lossy(txn).trim_start_matches('0').to_string()
+}
+
+pub fn flush_to_vec(out: &Outbox) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let written = out.flush(|part| {
+        bytes.extend(part);
+        Ok(part.len())
+    });
+    written.expect("a vector accepts all bytes");
+    bytes
+}
+
+impl Scenario {
+    pub fn start(changes: &[&str]) -> Scenario {
+        Scenario::start_with_store(changes, StoreMode::None)
+    }
+
+    pub fn start_with_store(changes: &[&str], mode: StoreMode) -> Scenario {
+        let mut json_config: serde_json::Value =
+            serde_json::from_str(include_str!("../../../demo/config.json"))
+                .expect("the example configuration");
+        for change in changes {
+            let (pointer, value) = change.split_once(' ').expect("POINTER JSON");
+            *json_config.pointer_mut(pointer).expect(pointer) = serde_json::from_str(value).expect("JSON");
+        }
+        let config = config::parse(&json_config.to_string(), None, None).expect("a configuration");
+        let shared = Shared::new(1000);
+        let names = Rc::new(config.names);
+        let mut core = Core::new(config.settings, names.clone(), &shared);
+        let store = (mode != StoreMode::None).then(|| {
+            let (sender, receiver) = sync_channel(STORE_QUEUE);
+            let responds_after = mode == StoreMode::RespondAfterCommit;
+            core.set_persistence(Persistence::new(sender, responds_after, true, RecoveredState::default()).0);
+            receiver
+        });
+        let kernel = Rc::new(Outbox::new(&shared.pool));
+        let (peers, call_numbers, outputs) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+        Scenario {
+            core,
+            names,
+            shared,
+            kernel,
+            peers,
+            call_numbers,
+            store,
+            holds_commits: false,
+            outputs,
+            now: 0,
+        }
+    }
+
+    fn buf(&self, bytes: &[u8]) -> Buf {
+        let mut buf = self.shared.pool.take();
+        assert_eq!(buf.push(bytes), bytes.len());
+        buf
+    }
+
+    fn handle_event(&mut self, event: CoreEvent) {
+        self.core.handle_event(self.now, UNIX_AT_START + self.now, event);
+    }
+
+    fn run_step(&mut self, words: &[&str], line: &str) {
+        match *words {
+            ["pass"] => {}
+            ["link"] => {
+                self.kernel = Rc::new(Outbox::new(&self.shared.pool));
+                self.handle_event(CoreEvent::ExecutorConnected(self.kernel.clone()));
+            }
+            ["unlink"] => {
+                flush_to_vec(&self.kernel);
+                self.handle_event(CoreEvent::ExecutorDisconnected);
+            }
+            ["term", ms] => {
+                let within = ms.parse::<Time>().expect("milliseconds") * 10;
+                self.handle_event(CoreEvent::Drain { within });
+            }
+            ["kernel", ..] => {
+                let json = line.split_once(" kernel ").expect("a notice").1;
+                let (_, notice) = lines::parse_notice(json.as_bytes(), &self.shared.pool);
+                self.handle_event(CoreEvent::ExecutorNotice(notice.expect("a notice that can be read")));
+            }
+            ["ledger", call, outcome_word] => {
+                let (request_id, reply) =
+                    (padded_txn(call), (outcome_word == "posted").then(|| self.buf(b"reply")));
+                let outcome = match outcome_word {
+                    "unreached" => Outcome::ConnectFailed,
+                    "broken" => Outcome::ConnectionLost,
+                    "posted" => Outcome::Succeeded,
+                    word => match lines::parse_reply(format!("{call} {word}\r\n").as_bytes(), BUFFER_BYTES) {
+                        lines::NextReply::Reply(reply, _) => reply.outcome,
+                        other => panic!("{other:?}"),
+                    },
+                };
+                let number = self.call_numbers[&request_id];
+                self.handle_event(CoreEvent::CallCompleted { request_id, number, outcome, reply });
+            }
+            [name, "sends", stream, call, ref rest @ ..] => {
+                let arrived_at = ((UNIX_AT_START + self.now) / 10).to_string();
+                let txn = String::from_utf8(padded_txn(call).to_vec()).expect("text");
+                let mut fields =
+                    BTreeMap::from([("verb", "lookup"), ("door", &arrived_at), ("cpu", "20"), ("ram", "30")]);
+                fields.extend([("txn", txn.as_str()), ("team", "acme"), ("standing", "0.5"), ("lb", "1")]);
+                fields.extend(rest.iter().map(|pair| pair.split_once('=').expect("FIELD=VALUE")));
+                fields.retain(|_, value| !value.is_empty());
+                let body = fields.remove("body").unwrap_or("ask");
+                let fields: Vec<_> = fields.into_iter().collect();
+                let mut payload = Vec::new();
+                frames::write_fields(&mut payload, &fields);
+                payload.extend(body.as_bytes());
+                let new_peer = || Rc::new(Peer::new(&self.shared.pool, Rc::new(FrameWriter), 0));
+                let peer = self.peers.entry(name.to_string()).or_insert_with(new_peer).clone();
+                peer.queued_requests.set(peer.queued_requests.get() + 1);
+                let stream = stream.parse().expect("a stream");
+                let request = read_request(self.buf(&payload), &self.names);
+                self.handle_event(CoreEvent::RequestArrived { peer, stream, request });
+            }
+            [name, "leaves", stream] => {
+                let (peer, stream) = (self.peers[name].clone(), stream.parse().expect("a stream"));
+                self.handle_event(CoreEvent::ClientLeft { peer, stream });
+            }
+            [name, "closes"] => {
+                let peer = self.peers[name].clone();
+                peer.is_closed.set(true);
+                self.handle_event(CoreEvent::ConnectionClosed { peer });
+            }
+            [name, "told"] => self.peers[name].close_announced_at.set(Some(self.now)),
+            _ => panic!("unknown step: {line}"),
+        }
+    }
+
+    /// Commits all writes, which may bring about further ones.
+    fn commit_writes(&mut self) {
+        while let Some(last) =
+            self.store.as_ref().filter(|_| !self.holds_commits).and_then(|store| store.try_iter().last())
+        {
+            let acknowledged_through = last.number;
+            self.handle_event(CoreEvent::Persisted { acknowledged_through, failure: None });
+        }
+    }
+
+    /// Outputs since the last event that begin with `start`, without it.
+    pub fn outputs_of(&self, start: &str) -> Vec<String> {
+        let rests = self.outputs.iter().filter_map(|output| output.strip_prefix(start));
+        rests.map(str::to_string).collect()
+    }
+
+    /// Collects all outputs since the last event, one line each.
+    fn collect_outputs(&mut self) {
+        for line in String::from_utf8(flush_to_vec(&self.kernel)).expect("text").lines() {
+            let json: serde_json::Value = serde_json::from_str(line).expect("JSON");
+            let text = |key: &str| json[key].as_str().unwrap_or("").to_string();
+            if text("msg") != "SYSINFO" {
+                use base64::Engine;
+                let blob = base64::engine::general_purpose::STANDARD.decode(text("blob")).expect("base64");
+                let (call, blob) =
+                    (without_leading_zeros(text("call").as_bytes()), String::from_utf8(blob).expect("text"));
+                self.outputs.push(format!("kernel {} {call} {blob}", text("msg")));
+            }
+        }
+        for (name, peer) in &self.peers {
+            let bytes = flush_to_vec(&peer.outbox);
+            let mut rest = &bytes[..];
+            while let NextFrame::Frame { kind: frames::RESPONSE, stream, payload, size } =
+                frames::next_frame(rest, BUFFER_BYTES)
+            {
+                let code = match payload[0] {
+                    frames::SUCCEEDED => "succeeded",
+                    frames::REJECTED => "throttled",
+                    _ => "errored",
+                };
+                let (_, body) = frames::parse_fields(&payload[1..]).expect("fields");
+                self.outputs.push(format!("{name} {stream} {code} {}", String::from_utf8_lossy(body)));
+                rest = &rest[size..];
+            }
+            assert!(rest.is_empty());
+        }
+        for command in self.shared.downstream.queue.borrow_mut().drain(..) {
+            self.outputs.push(match command {
+                DownstreamCommand::Call { request_id, number, timeout, body, .. } => {
+                    self.call_numbers.insert(request_id, number);
+                    format!(
+                        "ledger post {} {} {}",
+                        without_leading_zeros(&request_id),
+                        timeout / 10,
+                        String::from_utf8_lossy(&body)
+                    )
+                }
+                DownstreamCommand::Cancel { request_id } => {
+                    format!("ledger abandon {}", without_leading_zeros(&request_id))
+                }
+            });
+        }
+    }
+
+    pub fn run_line(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let is_written = |outputs: &[String]| {
+            outputs
+                .iter()
+                .any(|output| output.split(' ').take(words.len() - 1).eq(words[1..].iter().copied()))
+        };
+        match words[0] {
+            "expect" => assert!(is_written(&self.outputs), "{line}: {:?}", self.outputs),
+            "refuse" => assert!(!is_written(&self.outputs), "{line}: {:?}", self.outputs),
+            "owed" => assert_eq!(self.core.pending_responses().to_string(), words[1], "{line}"),
+            time => {
+                let until = time.parse::<Time>().expect("a time") * 10;
+                self.outputs.clear();
+                while self.core.wake_at() <= until {
+                    self.now = self.core.wake_at();
+                    self.core.tick(self.now);
+                }
+                self.now = until;
+                self.run_step(&words[1..], line);
+                self.commit_writes();
+                self.collect_outputs();
+            }
+        }
+    }
+}
