Core: a response that waits for the store is there for a second copy of its request

What callers saw: nothing on record; in the test a request without a key ran twice. With answer "after", its connection closing and the request sent once more on a new one.

Cause: a response that waits for its billing row was written by write_deferred_response, which did not save it for the second copy as write_response does; while it waited, the request had been released and nothing knew its id.

Change: deferred responses carry the request's id and fingerprint and are written by write_response. A second copy that comes before the commit takes the waiting response over.

Related: the retries that wait for the same batch go the same way.

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -18,7 +18,7 @@
     Dispatcher, FailureCause, ForwardedRequest, IncomingRequest, Peer, RequestError, RequestId,
     ResponseStatus,
 };
-use persistence::{BillingRow, DeferredAction, IdempotencyRecord, KeyState, Persistence};
+use persistence::{BillingRow, DeferredAction, DeferredResponse, IdempotencyRecord, KeyState, Persistence};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -205,7 +205,8 @@
 struct SentResponse {
     request_id: RequestId,
     fingerprint: u64,
-    peer: Rc<Peer>,
+    /// The connection that the response was written to last; `None` where the client had left before.
+    peer: Option<Rc<Peer>>,
     expires_at: Time,
     status: ResponseStatus,
     body: Buf,
@@ -815,15 +816,13 @@
         }
         for action in actions {
             match action {
-                DeferredAction::Respond { peer, stream, status, body } => {
+                DeferredAction::Respond(mut response) => {
                     let lost = failure.is_some();
-                    let status = if lost && reject_on_failure {
-                        ResponseStatus::Failed(FailureCause::ExecutionFailed)
-                    } else {
-                        status
-                    };
+                    if lost && reject_on_failure {
+                        response.status = ResponseStatus::Failed(FailureCause::ExecutionFailed);
+                    }
                     add(if lost { &self.host.counters.unrecorded } else { &self.host.counters.recorded });
-                    self.host.write_deferred_response(&peer, stream, status, &body);
+                    self.host.write_deferred_response(response);
                 }
                 DeferredAction::Run(slot, request_id) => {
                     let is_open = self.host.slots_by_id.get(&request_id) == Some(&slot);
@@ -1095,7 +1094,9 @@
             let number =
                 (status == ResponseStatus::Succeeded).then(|| self.record_billing(slot, body)).flatten();
             self.respond_to_followers(slot, status, body);
-            if number.is_some_and(|number| self.respond_after_commit(number, &peer, stream, status, body)) {
+            if number
+                .is_some_and(|number| self.respond_after_commit(number, slot, &peer, stream, status, body))
+            {
                 return;
             }
         }
@@ -1132,46 +1133,40 @@
         );
     }
 
-    /// Defers a response until a batch is finished, where responses wait for the commit.
+    /// Defers a response until a batch is finished, where responses wait for the commit. Returns false where they don't.
     fn respond_after_commit(
         &mut self,
         number: u64,
+        slot: RequestSlot,
         peer: &Rc<Peer>,
         stream: u32,
         status: ResponseStatus,
         body: &[u8],
     ) -> bool {
-        let Some(persistence) =
-            self.persistence.as_mut().filter(|persistence| persistence.respond_after_commit)
-        else {
+        if !self.persistence.as_ref().is_some_and(|persistence| persistence.respond_after_commit) {
             return false;
-        };
+        }
         // The response counts as queued, so that its connection stays open.
         peer.queued_requests.set(peer.queued_requests.get() + 1);
         self.pending_responses += 1;
         let mut saved_body = self.pool.take();
         saved_body.push(body);
-        // Followers wait for the same batch, which is the last one sent.
-        persistence
-            .defer(number, DeferredAction::Respond { peer: peer.clone(), stream, status, body: saved_body });
+        let OpenRequest { request_id, fingerprint, .. } = *self.request(slot);
+        let (peer, body) = (peer.clone(), saved_body);
+        let response = DeferredResponse { request_id, fingerprint, peer, stream, status, body };
+        if let Some(persistence) = self.persistence.as_mut() {
+            // Followers wait for the same batch, which is the last one sent.
+            persistence.defer(number, DeferredAction::Respond(response));
+        }
         true
     }
 
     /// Writes a response that waited for its billing row.
-    fn write_deferred_response(&mut self, peer: &Rc<Peer>, stream: u32, status: ResponseStatus, body: &[u8]) {
+    fn write_deferred_response(&mut self, response: DeferredResponse) {
+        let DeferredResponse { request_id, fingerprint, peer, stream, status, body } = response;
         peer.queued_requests.set(peer.queued_requests.get().saturating_sub(1));
         self.pending_responses -= 1;
-        if peer.is_closed.get() {
-            add(&self.counters.late_answers);
-        } else {
-            peer.writer.write_response(
-                &peer.outbox,
-                stream,
-                status,
-                body,
-                self.server_status.load_feedback.get(),
-            );
-        }
+        self.write_response(request_id, fingerprint, peer.clone(), stream, status, &body);
         peer.outbox.wake.notify_one();
     }
 
@@ -1197,30 +1192,41 @@
         }
         // Protects a request that crossed the close of its connection, after this response: it will be sent once more.
         if peer.is_ending() {
-            let mut saved_body = self.pool.take();
-            saved_body.push(body);
-            let expires_at = self.now + RESEND_WINDOW;
-            self.sent_responses.push_back(SentResponse {
-                request_id,
-                fingerprint,
-                peer,
-                expires_at,
-                status,
-                body: saved_body,
-            });
-            // Bounds the memory when many clients close at once, and prevents a second run: a request whose saved body
-            // was released fails when it is sent again.
-            if let Some(at) = self.sent_responses.len().checked_sub(MAX_SAVED_BODIES + 1) {
-                let old = &mut self.sent_responses[at];
-                old.body.release();
-                if old.status == ResponseStatus::Succeeded {
-                    old.status = ResponseStatus::Failed(FailureCause::ExecutionFailed);
-                }
-            }
-            if self.sent_responses.len() > MAX_SAVED_RESPONSES {
-                self.sent_responses.pop_front();
+            self.save_response(request_id, fingerprint, Some(peer), status, body);
+        }
+    }
+
+    fn save_response(
+        &mut self,
+        request_id: RequestId,
+        fingerprint: u64,
+        peer: Option<Rc<Peer>>,
+        status: ResponseStatus,
+        body: &[u8],
+    ) {
+        let mut saved_body = self.pool.take();
+        saved_body.push(body);
+        let expires_at = self.now + RESEND_WINDOW;
+        self.sent_responses.push_back(SentResponse {
+            request_id,
+            fingerprint,
+            peer,
+            expires_at,
+            status,
+            body: saved_body,
+        });
+        // Bounds the memory when many clients close at once, and prevents a second run: a request whose saved body
+        // was released fails when it is sent again.
+        if let Some(at) = self.sent_responses.len().checked_sub(MAX_SAVED_BODIES + 1) {
+            let old = &mut self.sent_responses[at];
+            old.body.release();
+            if old.status == ResponseStatus::Succeeded {
+                old.status = ResponseStatus::Failed(FailureCause::ExecutionFailed);
             }
         }
+        if self.sent_responses.len() > MAX_SAVED_RESPONSES {
+            self.sent_responses.pop_front();
+        }
     }
 
     /// Hands a billing row to the store; returns the number of its batch.
@@ -1267,7 +1273,7 @@
             .as_ref()
             .and_then(Persistence::pending_batch)
             .filter(|_| status == ResponseStatus::Succeeded);
-        if !batch.is_some_and(|number| self.respond_after_commit(number, &peer, stream, status, body)) {
+        if !batch.is_some_and(|number| self.respond_after_commit(number, slot, &peer, stream, status, body)) {
             self.write_response(request_id, fingerprint, peer, stream, status, body);
         }
         self.replayed.push(slot);
@@ -1317,6 +1323,9 @@
                 return DuplicateCheck::SameRequest;
             }
         }
+        if let Some(check) = self.redirect_deferred_response(&request_id, fingerprint, peer, stream) {
+            return check;
+        }
         let Some(response) =
             self.sent_responses.iter_mut().find(|response| response.request_id == request_id)
         else {
@@ -1326,7 +1335,7 @@
             return DuplicateCheck::Conflict;
         }
         add(&self.counters.resent);
-        if !Rc::ptr_eq(&response.peer, peer) {
+        if !response.peer.as_ref().is_some_and(|first| Rc::ptr_eq(first, peer)) {
             peer.writer.write_response(
                 &peer.outbox,
                 stream,
@@ -1334,11 +1343,32 @@
                 &response.body,
                 self.server_status.load_feedback.get(),
             );
-            response.peer = peer.clone();
+            response.peer = Some(peer.clone());
         }
         DuplicateCheck::SameRequest
     }
 
+    /// Sends a response that waits for the store to the connection on which its request came once more.
+    fn redirect_deferred_response(
+        &mut self,
+        request_id: &RequestId,
+        fingerprint: u64,
+        peer: &Rc<Peer>,
+        stream: u32,
+    ) -> Option<DuplicateCheck> {
+        let response = self.persistence.as_mut()?.deferred_response(request_id)?;
+        if response.fingerprint != fingerprint || !response.peer.is_ending() {
+            return Some(DuplicateCheck::Conflict);
+        }
+        add(&self.counters.resent);
+        let first = std::mem::replace(&mut response.peer, peer.clone());
+        response.stream = stream;
+        first.queued_requests.set(first.queued_requests.get().saturating_sub(1));
+        first.outbox.wake.notify_one();
+        peer.queued_requests.set(peer.queued_requests.get() + 1);
+        Some(DuplicateCheck::SameRequest)
+    }
+
     // ---- commands to the executor ----
 
     /// Sends the executor the current command for a request. Without a link the command is sent once there is one.
--- a/crates/server/src/core/persistence.rs
+++ b/crates/server/src/core/persistence.rs
@@ -109,14 +109,20 @@
     }
 }
 
+/// A response that waits until its billing row is persisted.
+pub struct DeferredResponse {
+    pub request_id: RequestId,
+    /// Fingerprint of the request, to tell it from another under the same id.
+    pub fingerprint: u64,
+    pub peer: Rc<Peer>,
+    pub stream: u32,
+    pub status: ResponseStatus,
+    pub body: Buf,
+}
+
 /// An action that waits until a batch is persisted.
 pub enum DeferredAction {
-    Respond {
-        peer: Rc<Peer>,
-        stream: u32,
-        status: ResponseStatus,
-        body: Buf,
-    },
+    Respond(DeferredResponse),
     /// Runs a request with an idempotency key.
     Run(RequestSlot, RequestId),
 }
@@ -271,6 +277,14 @@
         self.deferred.push_back((number, action));
     }
 
+    /// The response to a request that waits for its batch.
+    pub fn deferred_response(&mut self, request_id: &RequestId) -> Option<&mut DeferredResponse> {
+        self.deferred.iter_mut().find_map(|(_, action)| match action {
+            DeferredAction::Respond(response) if response.request_id == *request_id => Some(response),
+            _ => None,
+        })
+    }
+
     /// The batch after which everything known now is persisted; `None` where that is already so.
     pub fn pending_batch(&self) -> Option<u64> {
         (self.respond_after_commit && self.last_batch > self.acknowledged_through).then_some(self.last_batch)
--- a/crates/server/tests/core_cases/resends.rs
+++ b/crates/server/tests/core_cases/resends.rs
@@ -206,3 +206,32 @@
     }
     assert!(failures.is_empty(), "{} of {} fail:\n{}", failures.len(), CASES.len() * 9, failures.join("\n"));
 }
+
+/// Guards against a second run of a request whose response waits for the store as its connection is closing: the second copy gets that
+/// response, once it is persisted, whether it comes before the commit or after it.
+#[test]
+fn a_response_that_waits_for_the_store_reaches_the_second_copy() {
+    for comes_before_commit in [true, false] {
+        let settings = [r#"/settings/categories/1/effect "fragile""#];
+        let mut scenario = Scenario::start_with_store(&settings, StoreMode::RespondAfterCommit);
+        scenario.run_line(r#"0 kernel {"msg":"BOOTED","how":"WARM","duration":60000}"#);
+        scenario.run_line("0 link");
+        scenario.run_line("10 a sends 1 1");
+        scenario.run_line("11 a told");
+        scenario.holds_commits = comes_before_commit;
+        scenario.run_line(&format!("40 {}", reap("1", "OK")));
+        let is_written_to_first = !scenario.outputs_of("a 1 ").is_empty();
+        assert_eq!(is_written_to_first, !comes_before_commit);
+        scenario.run_line("60 b sends 9 1");
+        scenario.run_line("refuse kernel SCHED 1");
+        if comes_before_commit {
+            assert!(scenario.outputs_of("b 9 ").is_empty(), "nothing is answered before the commit");
+            scenario.run_line("owed 1");
+            scenario.holds_commits = false;
+            scenario.run_line("70 pass");
+            scenario.run_line("refuse a 1");
+        }
+        scenario.run_line("expect b 9 succeeded result");
+        scenario.run_line("owed 0");
+    }
+}
