Core: the end of a non-idempotent run is kept for a second copy of its request

What callers saw: nothing on record; in the test a request that must not run twice ran twice. Its connection ended while it ran, its run ended, and it was sent once more.

Cause: what a run ends with is kept for the second copy where a response is written to a closing connection. Without a client none is written, so nothing was kept, and the request was released; without a key nothing else knew it.

Evidence: the row "no key, the first copy has run" of the table: without the change 6 of its 9 combinations run twice, those in which the connection had closed before the run ended.

Change: the end of a non-idempotent run without a client is saved like a sent response, for the same second and within the same bounds; a run that never started is not.

Related: idempotent requests may run again; keyed ones are found by their key; a request still running gets the second copy attached.

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -955,6 +955,10 @@
         let counters = self.host.counters.clone();
         if self.host.request(slot).client.is_none() {
             self.host.complete_without_client(slot, outcome, &body);
+            let class = self.settings.classes.get(self.host.request(slot).class);
+            if class.is_some_and(|class| class.retry_safety == RetrySafety::NonIdempotent) {
+                self.host.save_for_resend(slot, outcome, &body);
+            }
         }
         match outcome {
             Outcome::Succeeded => {
@@ -1196,6 +1200,18 @@
         }
     }
 
+    /// Saves the end of a run whose client has left. Protects a non-idempotent request that crossed the close of its
+    /// connection from a second run: it has no key, and will be sent once more.
+    fn save_for_resend(&mut self, slot: RequestSlot, outcome: Outcome, result: &[u8]) {
+        let OpenRequest { request_id, fingerprint, .. } = *self.request(slot);
+        let (status, body) = match outcome {
+            Outcome::NotStarted => return,
+            Outcome::Succeeded => (ResponseStatus::Succeeded, result),
+            _ => (ResponseStatus::Failed(FailureCause::ExecutionFailed), &b""[..]),
+        };
+        self.save_response(request_id, fingerprint, None, status, body);
+    }
+
     fn save_response(
         &mut self,
         request_id: RequestId,
--- a/crates/server/tests/core_cases/resends.rs
+++ b/crates/server/tests/core_cases/resends.rs
@@ -48,7 +48,7 @@
 const NON_IDEMPOTENT: &str = "fragile";
 
 /// The first copy is sent at 10 ms, and the second one arrives at 60 ms. `b` keeps both cores busy where `BUSY` stands.
-const CASES: [Case; 9] = [
+const CASES: [Case; 10] = [
     Case {
         name: "the first copy waits in the queue",
         effect: KEYED,
@@ -124,6 +124,13 @@
         allowed: &["succeeded"],
         runs: 1..=1,
     },
+    Case {
+        name: "no key, the first copy has run",
+        effect: NON_IDEMPOTENT,
+        steps: &["10 a sends 1 1", "END", "40 REAP OK", "60 b sends 9 1"],
+        allowed: &["succeeded"],
+        runs: 1..=1,
+    },
 ];
 
 const REAP_BUSY: [&str; 2] = ["b1", "b2"];
