Drain: a retry of what has run here gets its result past the grace period too

Cause: the draining stage comes before deduplication and rejected every late arrival, also one that would not run.

Change: the draining stage leaves a retry whose earlier attempt has run or is open, of a class that must not run twice, to deduplication. All others are rejected as before.

--- a/crates/scheduler/src/admission/deduplication.rs
+++ b/crates/scheduler/src/admission/deduplication.rs
@@ -87,6 +87,15 @@
 }
 
 impl Scheduler {
+    /// Whether this is a retry that must not run again, since its earlier attempt has run or is still open.
+    pub(crate) fn retries_without_running(&self, arrival: &Arrival) -> bool {
+        let is_known = matches!(
+            self.earlier_result(arrival.earlier_attempt),
+            Some(EarlierResult::Replayable | EarlierResult::Failed)
+        );
+        is_known && must_not_run_twice(self.estimates.class(arrival.class).retry_safety)
+    }
+
     fn earlier_result(&self, attempt: EarlierAttempt) -> Option<EarlierResult> {
         let earlier = match attempt {
             EarlierAttempt::None => return None,
--- a/crates/scheduler/src/admission/draining.rs
+++ b/crates/scheduler/src/admission/draining.rs
@@ -1,5 +1,6 @@
 //! Draining stage: after a termination notice the server completes its open requests, admits requests that arrive within
-//! the grace period, and rejects all later ones.
+//! the grace period, and rejects all later ones, but for retries of requests that it has run or still completes: those get
+//! their result, as the notice changes nothing about what has run here.
 
 use super::AdmissionStep;
 use crate::events::SchedulerEvent;
@@ -38,7 +39,7 @@
 }
 
 /// While draining, rejects requests that arrived after the grace period or are read once the stop is reached, and limits
-/// the deadline of all others to the stop.
+/// the deadline of all others to the stop. Leaves a retry that doesn't run to the deduplication stage.
 pub(crate) fn admit(
     scheduler: &mut Scheduler,
     now: Time,
@@ -49,7 +50,8 @@
     let Some(request) = scheduler.requests.get_mut(arrival.slot) else { return AdmissionStep::Ended };
     request.deadline = request.deadline.min(window.stop_at).max(now);
     request.objective_at = request.objective_at.min(window.stop_at);
-    if request.arrived_at >= window.grace_until || now >= window.stop_at {
+    let is_late = request.arrived_at >= window.grace_until || now >= window.stop_at;
+    if is_late && !scheduler.retries_without_running(arrival) {
         scheduler.reject(now, arrival.slot, RejectReason::Draining, host);
         return AdmissionStep::Ended;
     }
