Core: a reply that the executor may have read is not sent again on a new link

What callers saw: answers made from wrong data.

Cause: on a new link every command after the last one known to have been read was sent again, replies too. The executor pairs a reply with whatever call the run waits for by then.

Change: a reply carries how much of it was written when its link broke. One that was not whole is sent again, as before. One that was is not; the run's next notice, its end or later gauges show that it was read, and without them the request fails and a log line names it.

Forwarders have no such link.

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -160,6 +160,18 @@
     Resume,
 }
 
+/// Whether the executor has read the reply to a run's call, as far as the link tells. The executor pairs a reply with
+/// whatever call the run waits for.
+#[derive(Clone, Copy, PartialEq)]
+enum ReplyDelivery {
+    /// No byte of it can have been read.
+    NotWritten,
+    /// It ends at this offset in the outbox of the present link.
+    WrittenUpTo(u64),
+    /// It was written whole to a link that broke.
+    Unknown,
+}
+
 struct OpenRequest {
     request_id: RequestId,
     /// The client and stream that are owed the response.
@@ -172,6 +184,8 @@
     stop_requested: bool,
     /// Number of the last command about this request.
     command_number: u64,
+    /// What is known of the reply to the run's call, while it is the last command.
+    reply_delivery: ReplyDelivery,
     /// Body of the pending call, then of its reply.
     call_body: Option<Buf>,
     call: Option<(u64, Time)>,
@@ -433,8 +447,8 @@
             }
             CoreEvent::ConnectionClosed { peer } => self.handle_connection_closed(&peer),
             CoreEvent::ExecutorNotice(notice) => self.handle_notice(notice),
-            CoreEvent::ExecutorConnected(outbox) => self.host.reconnect(outbox),
-            CoreEvent::ExecutorDisconnected => self.host.executor.outbox = None,
+            CoreEvent::ExecutorConnected(outbox) => self.handle_executor_connected(outbox),
+            CoreEvent::ExecutorDisconnected => self.host.disconnect(),
             CoreEvent::CallCompleted { request_id, number, outcome, reply } => {
                 let slot = self.host.slots_by_id.get(&request_id).copied();
                 let known =
@@ -768,6 +782,7 @@
             run_state: RunState::Idle,
             stop_requested: false,
             command_number: 0,
+            reply_delivery: ReplyDelivery::NotWritten,
             call_body: None,
             call: None,
             call_failed: false,
@@ -931,6 +946,24 @@
         }
     }
 
+    /// A new link has delivered all missed notices. Requests whose reply may have been read fail: to send it again could
+    /// answer their next call with it.
+    fn handle_executor_connected(&mut self, outbox: Rc<Outbox>) {
+        self.host.executor.outbox = Some(outbox);
+        self.host.resend_commands();
+        while let Some(slot) = self.host.find_unknown_delivery() {
+            let request = self.host.request(slot);
+            (request.reply_delivery, request.run_state) = (ReplyDelivery::NotWritten, RunState::AwaitingCall);
+            let request_id = request.request_id;
+            log!(
+                "request {} fails: the kernel may have read the reply to its call as the link broke",
+                String::from_utf8_lossy(&request_id)
+            );
+            self.host.respond(slot, ResponseStatus::Failed(FailureCause::ExecutionFailed), b"");
+            self.with_scheduler(|scheduler, now, host| scheduler.handle_client_disconnect(now, slot, host));
+        }
+    }
+
     /// Starts the scheduler when the executor boots, with the executor's own report of being cold.
     fn handle_booted(&mut self, cold: bool, age: Time) {
         if self.scheduler.is_some() {
@@ -1006,6 +1039,7 @@
         if let (Some(reply), Outcome::Succeeded, true) = (reply, outcome, is_pending) {
             let request = self.host.request(slot);
             (request.run_state, request.call_body) = (RunState::Resume, Some(reply));
+            request.reply_delivery = ReplyDelivery::NotWritten;
             self.host.send_command(slot);
         }
         self.with_scheduler(|scheduler, _, host| {
@@ -1416,7 +1450,10 @@
                     (&self.names.classes[request.class], &request.payload[request.body.clone()]);
                 outbox.push(lines::sched(&request_id, service, body).as_bytes());
             }
-            (_, RunState::Resume, Some(reply)) => outbox.push(lines::io_done(&request_id, reply).as_bytes()),
+            (_, RunState::Resume, Some(reply)) if request.reply_delivery != ReplyDelivery::Unknown => {
+                outbox.push(lines::io_done(&request_id, reply).as_bytes());
+                self.request(slot).reply_delivery = ReplyDelivery::WrittenUpTo(outbox.end());
+            }
             _ => {}
         }
     }
@@ -1457,12 +1494,34 @@
         }
     }
 
-    /// A new link has delivered all missed notices: commands sent after the last one known to have been read are sent
-    /// again. Protects runs and stops from a broken link. A run that is already going is not started twice, as the
-    /// executor's notices would have reported its end. A resent reply does harm if the executor had read it and the run
-    /// waits for its next call at that very moment.
-    fn reconnect(&mut self, outbox: Rc<Outbox>) {
-        self.executor.outbox = Some(outbox);
+    /// The link is lost: what it has written whole may have been read, and a line that was cut can't have been.
+    fn disconnect(&mut self) {
+        let Some(outbox) = self.executor.outbox.take() else { return };
+        for request in self.requests.iter_mut().flatten() {
+            if let ReplyDelivery::WrittenUpTo(end) = request.reply_delivery {
+                let is_whole = end <= outbox.written();
+                request.reply_delivery =
+                    if is_whole { ReplyDelivery::Unknown } else { ReplyDelivery::NotWritten };
+            }
+        }
+    }
+
+    /// A request whose run waits for a reply or has read it, while nothing that the executor has sent since tells which.
+    fn find_unknown_delivery(&self) -> Option<RequestSlot> {
+        let read_commands = self.executor.read_commands;
+        self.requests.iter().position(|request| {
+            request.as_ref().is_some_and(|request| {
+                request.run_state == RunState::Resume
+                    && request.reply_delivery == ReplyDelivery::Unknown
+                    && request.command_number > read_commands
+            })
+        })
+    }
+
+    /// Sends again the commands after the last one known to have been read, but for replies that may have been read.
+    /// Protects runs and stops from a broken link. A run that is already going is not started twice, as the executor's
+    /// notices would have reported its end.
+    fn resend_commands(&mut self) {
         for slot in 0..self.requests.len() {
             let Some(request) = self.requests[slot].as_mut() else { continue };
             if request.command_number <= self.executor.read_commands {
--- a/crates/server/tests/core.rs
+++ b/crates/server/tests/core.rs
@@ -1,6 +1,8 @@
 //! Runs every scenario file of tests/core through the core, and the cases that need a loop or a table; the notation is described in
 //! `core_cases/scenario.rs`.
 
+#[path = "core_cases/broken_links.rs"]
+mod broken_links;
 #[path = "core_cases/resends.rs"]
 mod resends;
 #[path = "core_cases/scenario.rs"]
--- a/crates/server/tests/core_cases/scenario.rs
+++ b/crates/server/tests/core_cases/scenario.rs
@@ -1,7 +1,8 @@
 //! Drives a core without sockets and without a real clock by lines of text. Notation, times in milliseconds:
 //!   config POINTER JSON               before the start: replaces the value at POINTER in the example configuration
 //!   TIME kernel JSON                  a notice from the executor
-//!   TIME link | unlink                the link to the executor is up and all missed notices were received | is lost
+//!   TIME link | unlink [BYTES]        the link to the executor is up and all missed notices were received | is lost, after
+//!                                     all bytes written to it, or that many of those written since the last step
 //!   TIME NAME sends STREAM TXN [FIELD=VALUE ...]   a request on the connection NAME, a frame of kind 2; its body is "ask",
 //!                                     or the value of `body=WORD`
 //!   TIME NAME leaves STREAM           the client no longer waits for the stream
@@ -53,6 +54,8 @@
     pub peers: BTreeMap<String, Rc<Peer>>,
     call_numbers: BTreeMap<RequestId, u64>,
     store: Option<Receiver<WriteBatch>>,
+    /// What is written to the executor stays in the outbox, for a link that breaks in the middle of it.
+    pub holds_kernel_output: bool,
     /// The store is slow: no write is committed until this is unset.
     pub holds_commits: bool,
     outputs: Vec<String>,
@@ -67,6 +70,20 @@
     String::from_utf8_lossy(txn).trim_start_matches('0').to_string()
 }
 
+/// Writes the first bytes of an outbox, up to this number, to nowhere.
+fn flush_at_most(out: &Outbox, limit: usize) {
+    let mut left = limit;
+    let flushed = out.flush(|part| match part.len().min(left) {
+        0 => Err(std::io::ErrorKind::WouldBlock.into()),
+        count => {
+            left -= count;
+            Ok(count)
+        }
+    });
+    flushed.expect("an outbox that is flushed in part");
+    out.clear();
+}
+
 pub fn flush_to_vec(out: &Outbox) -> Vec<u8> {
     let mut bytes = Vec::new();
     let written = out.flush(|part| {
@@ -111,6 +128,7 @@
             call_numbers,
             store,
             holds_commits: false,
+            holds_kernel_output: false,
             outputs,
             now: 0,
         }
@@ -133,9 +151,11 @@
                 self.kernel = Rc::new(Outbox::new(&self.shared.pool));
                 self.handle_event(CoreEvent::ExecutorConnected(self.kernel.clone()));
             }
-            ["unlink"] => {
-                flush_to_vec(&self.kernel);
+            ["unlink", ref bytes @ ..] => {
+                let limit = bytes.first().map_or(usize::MAX, |count| count.parse().expect("a number"));
+                flush_at_most(&self.kernel, limit);
                 self.handle_event(CoreEvent::ExecutorDisconnected);
+                self.kernel = Rc::new(Outbox::new(&self.shared.pool));
             }
             ["term", ms] => {
                 let within = ms.parse::<Time>().expect("milliseconds") * 10;
@@ -213,7 +233,8 @@
 
     /// Collects all outputs since the last event, one line each.
     fn collect_outputs(&mut self) {
-        for line in String::from_utf8(flush_to_vec(&self.kernel)).expect("text").lines() {
+        let commands = if self.holds_kernel_output { Vec::new() } else { flush_to_vec(&self.kernel) };
+        for line in String::from_utf8(commands).expect("text").lines() {
             let json: serde_json::Value = serde_json::from_str(line).expect("JSON");
             let text = |key: &str| json[key].as_str().unwrap_or("").to_string();
             if text("msg") != "SYSINFO" {
