Core: a keyed request whose run never started is answered at once

What callers saw: nothing on record. Where the executor did not start a run (MOOT), or the store could not record its start, the client of a keyed request waited for the whole window of its key, past its timeout.

Cause: handle_run_completed answers runs that succeeded or failed. One that never started was left to the release of its entry, and a keyed request's entry is released when its retention ends.

The test, without the change: no output at the end of the run ("expect a 1 errored: []"), with and without a store.

Change: the end of a run that never started is answered by the same status as at the release. Where the start could not be recorded the key is free again, as nothing ran.

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -1005,6 +1005,10 @@
                 add(&counters.runs_errored);
                 self.host.respond(slot, ResponseStatus::Failed(FailureCause::ExecutionFailed), b"");
             }
+            Outcome::NotStarted => {
+                add(&counters.runs_stopped);
+                self.host.respond_failed(slot);
+            }
             _ => add(&counters.runs_stopped),
         }
         self.host.cancel_call(slot);
--- /dev/null
+++ b/crates/server/tests/core_cases/keyed_requests.rs
@@ -0,0 +1,44 @@
+//! Requests with an idempotency key whose run does not start, or whose first client has left.
+
+use super::scenario::{Scenario, StoreMode};
+
+fn start_keyed(store: StoreMode) -> Scenario {
+    let mut scenario = Scenario::start_with_store(
+        &[r#"/settings/categories/1/effect "dedup""#, "/settings/categories/1/memory_span_ns 20000000000"],
+        store,
+    );
+    scenario.run_line(r#"0 kernel {"msg":"BOOTED","how":"WARM","duration":60000}"#);
+    scenario.run_line("0 link");
+    scenario
+}
+
+/// Guards against a client that waits for the whole retention of its key, past its timeout: a run that never started is answered at
+/// once, whether the executor did not start it or the store could not record its start.
+#[test]
+fn a_keyed_request_whose_run_never_starts_is_answered_at_once() {
+    let moot = r#"{"msg":"REAP","serial":1,"call":"0000000000000001","how":"MOOT","duration":0}"#;
+    for store in [StoreMode::None, StoreMode::RespondBeforeCommit, StoreMode::RespondAfterCommit] {
+        println!("not started by the executor, {store:?}");
+        let mut scenario = start_keyed(store);
+        scenario.run_line("10 a sends 1 1 unique=k");
+        scenario.run_line("11 b sends 1 2 unique=k");
+        scenario.run_line(&format!("20 kernel {moot}"));
+        scenario.run_line("expect a 1 errored");
+        scenario.run_line("expect b 1 errored");
+        scenario.run_line("owed 0");
+    }
+    for store in [StoreMode::RespondBeforeCommit, StoreMode::RespondAfterCommit] {
+        println!("the start could not be recorded, {store:?}");
+        let mut scenario = start_keyed(store);
+        scenario.fails_commits = true;
+        scenario.run_line("10 a sends 1 1 unique=k");
+        scenario.run_line("refuse kernel SCHED 1");
+        scenario.run_line("expect a 1 errored");
+        scenario.run_line("owed 0");
+        // The store keeps again; nothing has run under the key, so its next attempt runs.
+        scenario.fails_commits = false;
+        scenario.recover_store();
+        scenario.run_line("50 a sends 2 2 unique=k");
+        scenario.run_line("expect kernel SCHED 2 ask");
+    }
+}
--- a/crates/server/tests/core_cases/scenario.rs
+++ b/crates/server/tests/core_cases/scenario.rs
@@ -56,6 +56,12 @@
     store: Option<Receiver<WriteBatch>>,
     /// What is written to the executor stays in the outbox, for a link that breaks in the middle of it.
     pub holds_kernel_output: bool,
+    /// The store can't persist what it gets while this is set.
+    pub fails_commits: bool,
+    /// Number of the last batch that was answered.
+    committed_through: u64,
+    /// Keys of all rows that were handed to the store.
+    pub row_keys: Vec<String>,
     /// The store is slow: no write is committed until this is unset.
     pub holds_commits: bool,
     outputs: Vec<String>,
@@ -128,6 +134,9 @@
             call_numbers,
             store,
             holds_commits: false,
+            fails_commits: false,
+            committed_through: 0,
+            row_keys: Vec::new(),
             holds_kernel_output: false,
             outputs,
             now: 0,
@@ -215,16 +224,25 @@
         }
     }
 
-    /// Commits all writes, which may bring about further ones.
+    /// Commits all writes, or fails to; either may bring about further ones.
     fn commit_writes(&mut self) {
-        while let Some(last) =
-            self.store.as_ref().filter(|_| !self.holds_commits).and_then(|store| store.try_iter().last())
-        {
-            let acknowledged_through = last.number;
-            self.handle_event(CoreEvent::Persisted { acknowledged_through, failure: None });
+        while let Some(store) = self.store.as_ref().filter(|_| !self.holds_commits) {
+            let batches: Vec<WriteBatch> = store.try_iter().collect();
+            let Some(acknowledged_through) = batches.last().map(|batch| batch.number) else { return };
+            let keys = batches.into_iter().flat_map(|batch| batch.writes).map(|(key, _)| key);
+            self.committed_through = acknowledged_through;
+            self.row_keys.extend(keys.map(|key| String::from_utf8_lossy(&key).into_owned()));
+            let failure = self.fails_commits.then(|| "the disk is full".to_string());
+            self.handle_event(CoreEvent::Persisted { acknowledged_through, failure });
         }
     }
 
+    /// The store reports that it can persist again.
+    pub fn recover_store(&mut self) {
+        let acknowledged_through = self.committed_through;
+        self.handle_event(CoreEvent::Persisted { acknowledged_through, failure: None });
+    }
+
     /// Outputs since the last event that begin with `start`, without it.
     pub fn outputs_of(&self, start: &str) -> Vec<String> {
         let rests = self.outputs.iter().filter_map(|output| output.strip_prefix(start));
