Core: a success that only a retry gets is billed

What was seen: nothing on record; the test counted no billing row for a request that was served. Its first client had left while it ran, and a retry under its key had come after that.

Cause: rows are written where the request's own client is answered. Such a retry waits as a follower, and the end of a run without a client stored the result and answered the followers only.

Change: at a successful end the first retry that waits takes the place of the client that left and is answered and billed like any. The same hand-over serves a client that leaves later; it stands once now.

Related: retries answered from a stored result have no row of their own, as before. Ends without success bill nothing.

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -874,19 +874,9 @@
     fn handle_client_left(&mut self, slot: RequestSlot) {
         add(&self.host.counters.caller_left);
         self.host.detach_client(slot);
-        // A client that waits for this request's result takes over: the request continues and does not end with its
-        // first client.
-        if let Some(next) =
-            self.host.persistence.as_mut().and_then(|persistence| persistence.take_follower(slot))
-        {
-            if let Some((peer, stream)) = self.host.detach_client(next) {
-                self.host.attach_client(slot, peer, stream);
-                return self.with_scheduler(|scheduler, now, host| {
-                    scheduler.handle_client_disconnect(now, next, host)
-                });
-            }
-        }
-        self.with_scheduler(|scheduler, now, host| scheduler.handle_client_disconnect(now, slot, host));
+        // The request continues for a client that waits for its result, and does not end with its first client.
+        let left = self.host.hand_over_to_follower(slot).unwrap_or(slot);
+        self.with_scheduler(|scheduler, now, host| scheduler.handle_client_disconnect(now, left, host));
     }
 
     /// Fails all open requests of a connection. Protects the queue and the concurrency limit from a client whose other
@@ -986,6 +976,13 @@
     /// The run has ended: if the request has no response yet, the outcome decides it.
     fn handle_run_completed(&mut self, slot: RequestSlot, outcome: Outcome, body: Buf) {
         let counters = self.host.counters.clone();
+        if self.host.request(slot).client.is_none() && outcome == Outcome::Succeeded {
+            // A retry that waits for the result gets it as the request's own client would, with a billing row.
+            if let Some(retry) = self.host.hand_over_to_follower(slot) {
+                add(&counters.repeated);
+                self.host.replayed.push(retry);
+            }
+        }
         if self.host.request(slot).client.is_none() {
             self.host.complete_without_client(slot, outcome, &body);
             let class = self.settings.classes.get(self.host.request(slot).class);
@@ -1109,6 +1106,17 @@
         Some((peer, stream))
     }
 
+    /// Hands a request without a client over to the first one that waits for its result; returns the slot of that retry.
+    fn hand_over_to_follower(&mut self, slot: RequestSlot) -> Option<RequestSlot> {
+        loop {
+            let retry = self.persistence.as_mut()?.take_follower(slot)?;
+            if let Some((peer, stream)) = self.detach_client(retry) {
+                self.attach_client(slot, peer, stream);
+                return Some(retry);
+            }
+        }
+    }
+
     /// Sends the final response, if it is still owed: the only place where a response is settled. A success may wait
     /// until its billing row is persisted.
     fn respond(&mut self, slot: RequestSlot, status: ResponseStatus, body: &[u8]) {
--- a/crates/server/tests/core_cases/keyed_requests.rs
+++ b/crates/server/tests/core_cases/keyed_requests.rs
@@ -42,3 +42,29 @@
         scenario.run_line("expect kernel SCHED 2 ask");
     }
 }
+
+/// Guards the bill: a success that only a retry gets, as the first client has left, has its billing row like any other.
+#[test]
+fn a_success_that_only_a_retry_gets_is_billed() {
+    let done =
+        r#"{"msg":"REAP","serial":1,"call":"0000000000000001","how":"OK","duration":30,"blob":"cmVzdWx0"}"#;
+    for store in [StoreMode::RespondBeforeCommit, StoreMode::RespondAfterCommit] {
+        for retries in [1, 2] {
+            let mut scenario = start_keyed(store);
+            scenario.run_line("10 a sends 1 1 unique=k");
+            scenario.run_line("expect kernel SCHED 1 ask");
+            scenario.run_line("15 a leaves 1");
+            for retry in 1..=retries {
+                scenario.run_line(&format!("20 b sends {retry} {} unique=k", retry + 1));
+            }
+            scenario.run_line(&format!("owed {retries}"));
+            scenario.run_line(&format!("40 kernel {done}"));
+            for retry in 1..=retries {
+                scenario.run_line(&format!("expect b {retry} succeeded result"));
+            }
+            scenario.run_line("owed 0");
+            let billed = scenario.row_keys.iter().filter(|key| key.starts_with("b/")).count();
+            assert_eq!(billed, 1, "{store:?}, {retries} retries: {:?}", scenario.row_keys);
+        }
+    }
+}
