Forwarder: a second copy that can't be sent leaves the first one's outcome unknown

What callers saw: nothing on record; in the test a request that a worker had read ran at another worker as well.

Cause: an attempt that crosses an announced close is sent once more to the same worker. Where that connection could not be made, end_connection counted the attempt as one that never ran, which is true of the second copy only, and the retry budget let it go to another worker.

A worker that reads a request, announces the close and is gone: without the change the request is answered "succeeded" from the other worker.

Change: an attempt that was sent twice and ends with its connection may have run. A worker's own rejection still counts as a request that did not run.

Related: a first copy whose connection was never made, or of which nothing was written, is known not to have run, as before.

--- a/crates/server/src/forwarder/worker_fleet.rs
+++ b/crates/server/src/forwarder/worker_fleet.rs
@@ -337,6 +337,9 @@
             AttemptOutcome::Failed => return self.report_end(request_id, Outcome::Failed, b"", None),
             _ => {}
         }
+        // A second copy that never reached the worker says nothing about the first one, which crossed a close.
+        let is_first_unknown = attempt.was_resent && outcome == AttemptOutcome::ConnectionLost;
+        let known_execution = if is_first_unknown { Execution::MayHaveRun } else { known_execution };
         let time_remaining = attempt.request.deadline - now;
         let (worker, attempt_count) = (attempt.worker, attempt.attempts);
         let retry = RetryRequest {
--- a/crates/server/tests/crossings.rs
+++ b/crates/server/tests/crossings.rs
@@ -829,3 +829,63 @@
         assert_eq!(received.try_iter().count(), sent, "{closes} closes, announced {announces}");
     }
 }
+
+/// A worker that takes one request, announces the close of the connection, and is gone: it never answers and no new connection to
+/// it can be made. The receiver gets the number of requests read.
+fn vanishing_worker() -> (SocketAddr, std::sync::mpsc::Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (sender, received) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let (health_connection, _) = listener.accept().expect("a health check");
+        std::thread::spawn(move || {
+            let mut health = Router(Link::new(health_connection));
+            while let Some(check) = health.try_frame() {
+                health.0.send(frame(32, check.stream, &[79, 0]));
+            }
+        });
+        let (connection, _) = listener.accept().expect("a request");
+        let mut link = Router(Link::new(connection));
+        link.try_frame().expect("a request");
+        drop(listener);
+        let _ = sender.send(());
+        link.0.send(frame(64, 0, b""));
+        link.0.close();
+    });
+    (address, received)
+}
+
+/// Guards against a second run: the second copy of an attempt that crossed a close can't be sent, as the worker is gone. The first
+/// copy was read and may have run, so the request fails and runs at no other worker.
+#[test]
+fn an_attempt_whose_second_copy_cannot_be_sent_is_not_run_elsewhere() {
+    let (vanishing, read) = vanishing_worker();
+    let (other, received) = closing_worker(0, false);
+    let (listen, planner) =
+        (cypresscleat_fault_injection::free_port(), cypresscleat_fault_injection::free_port());
+    let operator = |second: SocketAddr| {
+        format!(
+            "tier: {{listen: \"{listen}\", planners: [{{name: \"p0\", address: \"{planner}\"}}], \
+             workers: [{{name: \"w0\", address: \"{vanishing}\", places: 4}}, \
+             {{name: \"w1\", address: \"{second}\", places: 4}}]}}"
+        )
+    };
+    let place = Deployment::start_as(Path::new(PROGRAM), "forward", CONFIG, &operator(other), |all| {
+        all["settings"]["categories"][1]["effect"] = "fragile".into();
+    });
+    place.logged("takes work");
+    place.logged("takes work");
+    let mut router = Router::connect(place.server);
+    // Requests go to either worker: they are sent until one has been read by the worker that vanishes.
+    let mut answers = Vec::new();
+    for stream in 1..=40 {
+        router.0.send(request_frame(stream, ONE, "lookup", b"ask"));
+        answers.push(router.answer().1);
+        if read.try_recv().is_ok() {
+            break;
+        }
+    }
+    let ran_elsewhere = received.try_iter().count();
+    assert_eq!(answers.last(), Some(&"errored"), "{answers:?}");
+    assert_eq!(ran_elsewhere, answers.len() - 1, "the request that was read ran elsewhere: {answers:?}");
+}
