Core: requests that come within the grace period of a drain have their row in the store

Cause: persist_open_requests wrote rows at the notice alone. Retries open at the notice kept their row after they had been answered, as they are not answered by respond.

Change: a request that is still open after its admission in a drain gets its row; each request knows whether it has one, and its answer or its release removes it. Rejected ones write none.

Related: a run whose client has left keeps its row until the run ends, as a kill cuts it off. A first form removed a retry's row as it was answered, between batches that must stay in order; the assertion in Persistence::defer caught it, and the release removes it now.

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -207,6 +207,8 @@
     client_priority: f64,
     expected_work: Option<f64>,
     memory_kb: f64,
+    /// A row in the store names it as open in a drain.
+    has_drain_row: bool,
 }
 
 struct Executor {
@@ -490,7 +492,8 @@
                 self.drain_notice = Some((now, within));
                 self.closes_at = now + self.settings.drain_grace;
                 self.host.server_status.is_closing.set(self.scheduler.is_none()); // nothing to wait for without a scheduler
-                self.host.persist_open_requests();
+                self.host.is_draining = true;
+                self.host.persist_open_requests(0..self.host.requests.len());
                 self.with_scheduler(|scheduler, now, host| scheduler.start_draining(now, within, host));
             }
         }
@@ -801,9 +804,14 @@
             client_priority: request.client_priority,
             expected_work: request.expected_work,
             memory_kb: request.memory_kb,
+            has_drain_row: false,
         });
-        host.attach_client(arrival.slot, peer, stream);
+        let slot = arrival.slot;
+        host.attach_client(slot, peer, stream);
         scheduler.handle_arrival(host.now, arrival, host);
+        if host.is_draining && host.slots_by_id.get(&request_id) == Some(&slot) {
+            host.persist_open_requests(slot..slot + 1);
+        }
     }
 
     /// Releases requests that were answered by another request's result: the scheduler is done with them too.
@@ -1138,9 +1146,7 @@
             peer.last_rejected.set(Some(request_id));
         }
         if self.persistence.is_some() {
-            if let Some(persistence) = self.persistence.as_mut().filter(|_| self.is_draining) {
-                persistence.clear_open_request(&request_id);
-            }
+            self.clear_drain_row(slot);
             let number =
                 (status == ResponseStatus::Succeeded).then(|| self.record_billing(slot, body)).flatten();
             self.respond_to_followers(slot, status, body);
@@ -1341,13 +1347,13 @@
         self.replayed.push(slot);
     }
 
-    /// Records what is open when a drain begins, so that the requests cut off can be found later.
-    fn persist_open_requests(&mut self) {
-        self.is_draining = true;
+    /// Records which of these requests are open in a drain, so that those cut off can be found later.
+    fn persist_open_requests(&mut self, slots: Range<RequestSlot>) {
         let Some(persistence) = self.persistence.as_mut() else { return };
-        let requests = self.requests.iter().flatten().filter(|request| request.client.is_some());
+        let open = self.requests[slots].iter_mut().flatten().filter(|request| request.client.is_some());
         let names = &self.names;
-        persistence.record_open_requests(requests.map(|request| {
+        persistence.record_open_requests(open.map(|request| {
+            request.has_drain_row = true;
             let tenant = request.tenant.and_then(|at| names.tenants.get(at)).map_or("", String::as_str);
             (
                 request.request_id,
@@ -1356,6 +1362,18 @@
         }));
     }
 
+    /// Removes the row that names a request as open in a drain, where it has one: it is answered, or nobody waits for it.
+    fn clear_drain_row(&mut self, slot: RequestSlot) {
+        let request = self.request(slot);
+        if !std::mem::take(&mut request.has_drain_row) {
+            return;
+        }
+        let request_id = request.request_id;
+        if let Some(persistence) = self.persistence.as_mut() {
+            persistence.clear_open_request(&request_id);
+        }
+    }
+
     /// Handles a request that crossed the close of its connection and was sent once more. Under the id of an open or
     /// answered request it is the same request if its fingerprint matches and its first connection was closing. It does
     /// not run again; the response goes to the connection that sent it last, at most once to each connection. No other
@@ -1677,6 +1695,7 @@
     fn release(&mut self, slot: RequestSlot) {
         self.respond_failed(slot); // no request is released without a response
         self.cancel_call(slot);
+        self.clear_drain_row(slot);
         if let Some(request) = self.requests[slot].take() {
             self.replayed.retain(|replayed| *replayed != slot);
             if let Some(persistence) = self.persistence.as_mut() {
--- a/crates/server/tests/core_cases/keyed_requests.rs
+++ b/crates/server/tests/core_cases/keyed_requests.rs
@@ -63,8 +63,8 @@
                 scenario.run_line(&format!("expect b {retry} succeeded result"));
             }
             scenario.run_line("owed 0");
-            let billed = scenario.row_keys.iter().filter(|key| key.starts_with("b/")).count();
-            assert_eq!(billed, 1, "{store:?}, {retries} retries: {:?}", scenario.row_keys);
+            let billed = scenario.rows.iter().filter(|key| key.starts_with("b/")).count();
+            assert_eq!(billed, 1, "{store:?}, {retries} retries: {:?}", scenario.rows);
         }
     }
 }
--- a/crates/server/tests/core_cases/scenario.rs
+++ b/crates/server/tests/core_cases/scenario.rs
@@ -27,7 +27,7 @@
 use cypresscleat_server::listeners::frames::{read_request, FrameWriter};
 use cypresscleat_server::pool::{Buf, Outbox, BUFFER_BYTES};
 use cypresscleat_settings::Names;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::mpsc::{sync_channel, Receiver};
 
@@ -60,8 +60,8 @@
     pub fails_commits: bool,
     /// Number of the last batch that was answered.
     committed_through: u64,
-    /// Keys of all rows that were handed to the store.
-    pub row_keys: Vec<String>,
+    /// Keys of all rows in the store.
+    pub rows: BTreeSet<String>,
     /// The store is slow: no write is committed until this is unset.
     pub holds_commits: bool,
     outputs: Vec<String>,
@@ -136,7 +136,7 @@
             holds_commits: false,
             fails_commits: false,
             committed_through: 0,
-            row_keys: Vec::new(),
+            rows: BTreeSet::new(),
             holds_kernel_output: false,
             outputs,
             now: 0,
@@ -229,9 +229,14 @@
         while let Some(store) = self.store.as_ref().filter(|_| !self.holds_commits) {
             let batches: Vec<WriteBatch> = store.try_iter().collect();
             let Some(acknowledged_through) = batches.last().map(|batch| batch.number) else { return };
-            let keys = batches.into_iter().flat_map(|batch| batch.writes).map(|(key, _)| key);
             self.committed_through = acknowledged_through;
-            self.row_keys.extend(keys.map(|key| String::from_utf8_lossy(&key).into_owned()));
+            for (key, value) in batches.into_iter().flat_map(|batch| batch.writes) {
+                let key = String::from_utf8_lossy(&key).into_owned();
+                match value {
+                    Some(_) => self.rows.insert(key),
+                    None => self.rows.remove(&key),
+                };
+            }
             let failure = self.fails_commits.then(|| "the disk is full".to_string());
             self.handle_event(CoreEvent::Persisted { acknowledged_through, failure });
         }
