--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -4,8 +4,7 @@
 
 use crate::clock::MS;
 use crate::counters::{add, Counters};
-use crate::frames;
-use crate::lines::{self, Notice};
+use crate::lines::Notice;
 use crate::log;
 use crate::pool::{Buf, BufferPool, Outbox};
 use crate::ready::Readiness;
@@ -14,20 +13,22 @@
 use cypresscleat_rollout::member::AdmissionPermit;
 use cypresscleat_scheduler::*;
 use cypresscleat_settings::{set_gauge, Names};
-use incoming::{
-    Dispatcher, FailureCause, ForwardedRequest, IncomingRequest, Peer, RequestError, RequestId,
-    ResponseStatus,
-};
+use executor_link::{Executor, ReplyDelivery, RunState};
+use incoming::{Dispatcher, FailureCause, IncomingRequest, Peer, RequestError, RequestId, ResponseStatus};
 use persistence::{BillingRow, DeferredAction, DeferredResponse, IdempotencyRecord, KeyState, Persistence};
-use std::cell::{Cell, RefCell};
+use resends::{fingerprint, DuplicateCheck, SentResponse};
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::ops::Range;
 use std::rc::Rc;
-use tokio::sync::Notify;
 
+mod events;
+mod executor_link;
 pub mod incoming;
 pub mod persistence;
+mod resends;
+
+pub use events::{CoreEvent, DownstreamCommand, DownstreamCommands, ServerStatus};
 
 /// Maximum number of open requests on one connection.
 const MAX_OPEN_STREAMS: usize = 32;
@@ -37,12 +38,6 @@
 const MAX_GAUGES_AGE: Time = 200 * MS;
 /// A call is abandoned here when its reply is this late; normally the downstream proxy reports its end itself.
 const CALL_REPLY_MARGIN: Time = 50 * MS;
-/// Responses written to a closing connection are saved for this long, since the request may be sent again. At most
-/// `MAX_SAVED_BODIES` are saved with their bodies; beyond those, up to `MAX_SAVED_RESPONSES` in all, only the fact that
-/// they were sent is remembered.
-const RESEND_WINDOW: Time = 1000 * MS;
-const MAX_SAVED_BODIES: usize = 64;
-const MAX_SAVED_RESPONSES: usize = 4096;
 /// Retry delay for clients while the store can't persist anything and requests must not be served without it.
 const STORE_FAILURE_RETRY_AFTER: Time = 1000 * MS;
 /// Retry delay for clients while this instance is out of service, or can't hold another request during a policy change.
@@ -51,126 +46,6 @@
 const MAX_HELD_REQUESTS: usize = 256;
 /// A held request is rejected this long before its client's timeout.
 const HELD_REJECT_MARGIN: Time = 50 * MS;
-/// No gauges are requested while more than this many bytes wait for the executor to read.
-const MAX_EXECUTOR_BACKLOG_BYTES: usize = 65_536;
-
-/// The state this server reports to clients and to the registry: set by the core, sent by the frontends.
-pub struct ServerStatus {
-    pub is_healthy: Cell<bool>,
-    pub load_feedback: Cell<Option<f64>>,
-    /// Connections that are idle for longer than this are closed.
-    pub idle_timeout: Cell<Option<Time>>,
-    /// Reported to the registry, together with `is_in_service`.
-    pub accepts_work: Cell<bool>,
-    /// The fleet's active policy allows this server to serve, or there is no policy.
-    pub is_in_service: Cell<bool>,
-    /// The grace period of a drain is over: connections without an open request are closed.
-    pub is_closing: Cell<bool>,
-    /// Concurrency limit for all clients together, while it is below what the scheduler's own limits admit.
-    pub slow_start_limit: Cell<Option<f64>>,
-}
-
-/// A command from the core to the downstream tier.
-pub enum DownstreamCommand {
-    /// Makes a call, which is abandoned after `timeout`.
-    Call {
-        request_id: RequestId,
-        number: u64,
-        class: usize,
-        timeout: Time,
-        body: Buf,
-    },
-    Cancel {
-        request_id: RequestId,
-    },
-}
-
-#[derive(Default)]
-pub struct DownstreamCommands {
-    pub queue: RefCell<VecDeque<DownstreamCommand>>,
-    pub wake: Notify,
-}
-
-impl DownstreamCommands {
-    fn push(&self, command: DownstreamCommand) {
-        self.queue.borrow_mut().push_back(command);
-        self.wake.notify_one();
-    }
-}
-
-/// An event for the core: messages read from sockets, and completions. All events pass through one queue, in order.
-pub enum CoreEvent {
-    RequestArrived {
-        peer: Rc<Peer>,
-        stream: u32,
-        /// The request, or why it can't be carried out.
-        request: Result<IncomingRequest, String>,
-    },
-    ClientLeft {
-        peer: Rc<Peer>,
-        stream: u32,
-    },
-    ConnectionClosed {
-        peer: Rc<Peer>,
-    },
-    ExecutorNotice(Notice),
-    /// A new link has delivered all missed notices; commands go to this outbox from now on.
-    ExecutorConnected(Rc<Outbox>),
-    ExecutorDisconnected,
-    CallCompleted {
-        request_id: RequestId,
-        number: u64,
-        outcome: Outcome,
-        reply: Option<Buf>,
-    },
-    Drain {
-        within: Time,
-    },
-    /// The instance's own pools have changed.
-    PoolsChanged(PoolsConfig),
-    /// A policy is active, with its pools; without any, the instance's own pools apply.
-    PolicyActivated {
-        number: u64,
-        pools: Option<PoolsConfig>,
-    },
-    /// The gate has changed its state: held requests are evaluated again.
-    GateChanged,
-    /// A run at a worker has ended. If the worker rejected it, `retry_after` is the worker's retry delay and whether
-    /// the client should not try another server.
-    RunCompleted {
-        request_id: RequestId,
-        outcome: Outcome,
-        body: Buf,
-        retry_after: Option<(Time, bool)>,
-    },
-    /// All batches for the store up to this number are finished; `failure` tells why some of them failed.
-    Persisted {
-        acknowledged_through: u64,
-        failure: Option<String>,
-    },
-}
-
-/// The last command to the executor about a request.
-#[derive(Clone, Copy, PartialEq)]
-enum RunState {
-    Idle,
-    Run,
-    /// The request waits for a downstream call; the next command comes from this side.
-    AwaitingCall,
-    Resume,
-}
-
-/// Whether the executor has read the reply to a run's call, as far as the link tells. The executor pairs a reply with
-/// whatever call the run waits for.
-#[derive(Clone, Copy, PartialEq)]
-enum ReplyDelivery {
-    /// No byte of it can have been read.
-    NotWritten,
-    /// It ends at this offset in the outbox of the present link.
-    WrittenUpTo(u64),
-    /// It was written whole to a link that broke.
-    Unknown,
-}
 
 struct OpenRequest {
     request_id: RequestId,
@@ -211,37 +86,6 @@
     has_drain_row: bool,
 }
 
-struct Executor {
-    outbox: Option<Rc<Outbox>>,
-    /// Number of commands sent, and of those known to have been read.
-    sent_commands: u64,
-    read_commands: u64,
-}
-
-struct SentResponse {
-    request_id: RequestId,
-    fingerprint: u64,
-    /// The connection that the response was written to last; `None` where the client had left before.
-    peer: Option<Rc<Peer>>,
-    expires_at: Time,
-    status: ResponseStatus,
-    body: Buf,
-}
-
-/// Result of looking up a request id: new, the same request again, or the id of another known request.
-enum DuplicateCheck {
-    New,
-    SameRequest,
-    Conflict,
-}
-
-/// Two requests with the same id are the same request if their fingerprints are equal.
-fn fingerprint(class: usize, body: &[u8]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (class, body).hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Upper bound of the time that a request can lie unread and still be worth a response.
 fn max_unread_time(settings: &Settings) -> Time {
     settings.classes.iter().map(|class| class.timeout).max().unwrap_or(0)
@@ -1252,51 +1096,6 @@
         }
     }
 
-    /// Saves the end of a run whose client has left. Protects a non-idempotent request that crossed the close of its
-    /// connection from a second run: it has no key, and will be sent once more.
-    fn save_for_resend(&mut self, slot: RequestSlot, outcome: Outcome, result: &[u8]) {
-        let OpenRequest { request_id, fingerprint, .. } = *self.request(slot);
-        let (status, body) = match outcome {
-            Outcome::NotStarted => return,
-            Outcome::Succeeded => (ResponseStatus::Succeeded, result),
-            _ => (ResponseStatus::Failed(FailureCause::ExecutionFailed), &b""[..]),
-        };
-        self.save_response(request_id, fingerprint, None, status, body);
-    }
-
-    fn save_response(
-        &mut self,
-        request_id: RequestId,
-        fingerprint: u64,
-        peer: Option<Rc<Peer>>,
-        status: ResponseStatus,
-        body: &[u8],
-    ) {
-        let mut saved_body = self.pool.take();
-        saved_body.push(body);
-        let expires_at = self.now + RESEND_WINDOW;
-        self.sent_responses.push_back(SentResponse {
-            request_id,
-            fingerprint,
-            peer,
-            expires_at,
-            status,
-            body: saved_body,
-        });
-        // Bounds the memory when many clients close at once, and prevents a second run: a request whose saved body
-        // was released fails when it is sent again.
-        if let Some(at) = self.sent_responses.len().checked_sub(MAX_SAVED_BODIES + 1) {
-            let old = &mut self.sent_responses[at];
-            old.body.release();
-            if old.status == ResponseStatus::Succeeded {
-                old.status = ResponseStatus::Failed(FailureCause::ExecutionFailed);
-            }
-        }
-        if self.sent_responses.len() > MAX_SAVED_RESPONSES {
-            self.sent_responses.pop_front();
-        }
-    }
-
     /// Hands a billing row to the store; returns the number of its batch.
     fn record_billing(&mut self, slot: RequestSlot, body: &[u8]) -> Option<u64> {
         let request = self.requests[slot].as_ref()?;
@@ -1374,212 +1173,6 @@
         }
     }
 
-    /// Handles a request that crossed the close of its connection and was sent once more. Under the id of an open or
-    /// answered request it is the same request if its fingerprint matches and its first connection was closing. It does
-    /// not run again; the response goes to the connection that sent it last, at most once to each connection. No other
-    /// client receives a response by naming its id.
-    ///
-    /// A request that has finished, and whose entry is only retained for its idempotency key, has nothing more to come:
-    /// its second copy gets the response that was sent, or else is new and found again by its key.
-    fn check_duplicate(
-        &mut self,
-        request_id: RequestId,
-        fingerprint: u64,
-        peer: &Rc<Peer>,
-        stream: u32,
-        is_open: impl Fn(RequestSlot) -> bool,
-    ) -> DuplicateCheck {
-        if let Some(slot) = self.slots_by_id.get(&request_id).copied() {
-            let request = self.request(slot);
-            if request.fingerprint != fingerprint
-                || request.client.as_ref().is_some_and(|(first, _)| !first.is_ending())
-            {
-                return DuplicateCheck::Conflict;
-            }
-            if is_open(slot) {
-                add(&self.counters.resent);
-                self.detach_client(slot);
-                self.attach_client(slot, peer.clone(), stream);
-                return DuplicateCheck::SameRequest;
-            }
-        }
-        if let Some(check) = self.redirect_deferred_response(&request_id, fingerprint, peer, stream) {
-            return check;
-        }
-        let Some(response) =
-            self.sent_responses.iter_mut().find(|response| response.request_id == request_id)
-        else {
-            return DuplicateCheck::New;
-        };
-        if response.fingerprint != fingerprint {
-            return DuplicateCheck::Conflict;
-        }
-        add(&self.counters.resent);
-        if !response.peer.as_ref().is_some_and(|first| Rc::ptr_eq(first, peer)) {
-            peer.writer.write_response(
-                &peer.outbox,
-                stream,
-                response.status,
-                &response.body,
-                self.server_status.load_feedback.get(),
-            );
-            response.peer = Some(peer.clone());
-        }
-        DuplicateCheck::SameRequest
-    }
-
-    /// Sends a response that waits for the store to the connection on which its request came once more.
-    fn redirect_deferred_response(
-        &mut self,
-        request_id: &RequestId,
-        fingerprint: u64,
-        peer: &Rc<Peer>,
-        stream: u32,
-    ) -> Option<DuplicateCheck> {
-        let response = self.persistence.as_mut()?.deferred_response(request_id)?;
-        if response.fingerprint != fingerprint || !response.peer.is_ending() {
-            return Some(DuplicateCheck::Conflict);
-        }
-        add(&self.counters.resent);
-        let first = std::mem::replace(&mut response.peer, peer.clone());
-        response.stream = stream;
-        first.queued_requests.set(first.queued_requests.get().saturating_sub(1));
-        first.outbox.wake.notify_one();
-        peer.queued_requests.set(peer.queued_requests.get() + 1);
-        Some(DuplicateCheck::SameRequest)
-    }
-
-    // ---- commands to the executor ----
-
-    /// Sends the executor the current command for a request. Without a link the command is sent once there is one.
-    fn send_command(&mut self, slot: RequestSlot) {
-        self.executor.sent_commands += 1;
-        self.request(slot).command_number = self.executor.sent_commands;
-        self.send_current_command(slot);
-    }
-
-    fn send_current_command(&mut self, slot: RequestSlot) {
-        if let Some(dispatcher) = self.dispatcher.clone() {
-            let Some(request) = self.requests[slot].as_ref() else { return };
-            match (request.stop_requested, request.run_state) {
-                (true, _) => dispatcher.stop(request.request_id),
-                (false, RunState::Run) => dispatcher.run(self.forwarded_request(slot)),
-                _ => {}
-            }
-            return;
-        }
-        let (Some(outbox), Some(request)) = (self.executor.outbox.clone(), self.requests[slot].as_ref())
-        else {
-            return;
-        };
-        let request_id = String::from_utf8_lossy(&request.request_id);
-        match (request.stop_requested, request.run_state, &request.call_body) {
-            (true, ..) => outbox.push(lines::preempt(&request_id).as_bytes()),
-            (_, RunState::Run, _) => {
-                let (service, body) =
-                    (&self.names.classes[request.class], &request.payload[request.body.clone()]);
-                outbox.push(lines::sched(&request_id, service, body).as_bytes());
-            }
-            (_, RunState::Resume, Some(reply)) if request.reply_delivery != ReplyDelivery::Unknown => {
-                outbox.push(lines::io_done(&request_id, reply).as_bytes());
-                self.request(slot).reply_delivery = ReplyDelivery::WrittenUpTo(outbox.end());
-            }
-            _ => {}
-        }
-    }
-
-    /// Builds the request for a worker: the original frame payload, or an equivalent one.
-    fn forwarded_request(&self, slot: RequestSlot) -> ForwardedRequest {
-        let request = self.requests[slot].as_ref().expect("the slot is in use");
-        let payload = if request.is_frame_payload {
-            request.payload.to_vec()
-        } else {
-            let (request_id, arrived_at) =
-                (String::from_utf8_lossy(&request.request_id), (request.arrived_at / MS).to_string());
-            let (expected_work, memory_kb) = (
-                request.expected_work.map(|expected_work| format!("{:.1}", expected_work / MS as f64)),
-                format!("{:.1}", request.memory_kb),
-            );
-            let client_priority = format!("{:.4}", request.client_priority.min(0.9999));
-            let tenant = request.tenant.and_then(|at| self.names.tenants.get(at));
-            let mut fields = vec![
-                ("verb", self.names.classes[request.class].as_str()),
-                ("txn", &request_id),
-                ("door", &arrived_at),
-            ];
-            fields.extend([("lb", "0"), ("ram", &memory_kb), ("standing", &client_priority)]);
-            fields.extend(tenant.map(|tenant| ("team", tenant.as_str())));
-            fields.extend(expected_work.as_ref().map(|expected_work| ("cpu", expected_work.as_str())));
-            let mut payload = Vec::new();
-            frames::write_fields(&mut payload, &fields);
-            payload.extend(&request.payload[request.body.clone()]);
-            payload
-        };
-        ForwardedRequest {
-            request_id: request.request_id,
-            class: request.class,
-            payload,
-            deadline: request.deadline,
-            subject: request.subject,
-        }
-    }
-
-    /// The link is lost: what it has written whole may have been read, and a line that was cut can't have been.
-    fn disconnect(&mut self) {
-        let Some(outbox) = self.executor.outbox.take() else { return };
-        for request in self.requests.iter_mut().flatten() {
-            if let ReplyDelivery::WrittenUpTo(end) = request.reply_delivery {
-                let is_whole = end <= outbox.written();
-                request.reply_delivery =
-                    if is_whole { ReplyDelivery::Unknown } else { ReplyDelivery::NotWritten };
-            }
-        }
-    }
-
-    /// A request whose run waits for a reply or has read it, while nothing that the executor has sent since tells which.
-    fn find_unknown_delivery(&self) -> Option<RequestSlot> {
-        let read_commands = self.executor.read_commands;
-        self.requests.iter().position(|request| {
-            request.as_ref().is_some_and(|request| {
-                request.run_state == RunState::Resume
-                    && request.reply_delivery == ReplyDelivery::Unknown
-                    && request.command_number > read_commands
-            })
-        })
-    }
-
-    /// Sends again the commands after the last one known to have been read, but for replies that may have been read.
-    /// Protects runs and stops from a broken link. A run that is already going is not started twice, as the executor's
-    /// notices would have reported its end.
-    fn resend_commands(&mut self) {
-        for slot in 0..self.requests.len() {
-            let Some(request) = self.requests[slot].as_mut() else { continue };
-            if request.command_number <= self.executor.read_commands {
-                continue;
-            }
-            if request.stop_requested && request.run_state != RunState::Idle {
-                request.stop_requested = false; // first the command that preceded the stop
-                self.send_current_command(slot);
-                self.request(slot).stop_requested = true;
-            }
-            add(&self.counters.kernel_resent);
-            self.send_current_command(slot);
-        }
-    }
-
-    /// Requests the gauges. They return with the number of the last command sent, which shows what the executor has
-    /// read. Returns false where they can't be requested.
-    fn request_gauges(&mut self) -> bool {
-        if let Some(dispatcher) = &self.dispatcher {
-            (self.gauges, self.gauges_at) = (dispatcher.gauges(), self.now);
-            return false;
-        }
-        let outbox = self.executor.outbox.as_ref().filter(|outbox| outbox.len() < MAX_EXECUTOR_BACKLOG_BYTES);
-        outbox
-            .map(|outbox| outbox.push(lines::sysinfo(&self.executor.sent_commands.to_string()).as_bytes()))
-            .is_some()
-    }
-
     // ---- downstream calls ----
 
     fn cancel_call(&mut self, slot: RequestSlot) {
