Store: the header of a compacted segment has its length, so that a cut is noticed

Cause: recovery took what is stored of a compacted segment for its whole length. Its length stood in no segment, and hints of another length are put aside without a word.

Change: the segment's own length goes into the header's field for the previous segment's length, under the header's checksum, before the segment is synced and renamed. A compacted segment is the first of its log, so the field was 0 and unused. With the records' own checksums the length fixes their count; no count of its own is stored.

Stored form: the field's place and size are as before. 0 there means an earlier version and is read as before.

--- a/crates/store/src/compaction.rs
+++ b/crates/store/src/compaction.rs
@@ -210,6 +210,12 @@
 
     /// Renames the complete output, which then replaces the inputs. Their files stay until the index points to the output.
     fn replace_inputs(&mut self, compaction: &mut Compaction) -> Result<()> {
+        let header = SegmentHeader {
+            first_segment: compaction.first_segment,
+            last_segment: compaction.number,
+            previous_length: compaction.written_bytes,
+        };
+        self.disk.write(&compaction.file, 0, &header.encode())?;
         self.disk.sync(&compaction.file)?;
         let file = segment_file_name(compaction.number, compaction.generation);
         self.disk.rename(&compaction.file, &file)?;
--- a/crates/store/src/format/header.rs
+++ b/crates/store/src/format/header.rs
@@ -17,7 +17,8 @@
     pub first_segment: u64,
     /// Last segment that it covers: its own number.
     pub last_segment: u64,
-    /// Valid length of the previous segment.
+    /// Valid length of the previous segment. A compacted segment is the first of its log and has none before it: there this is
+    /// its own length, or 0 where an earlier version of the program wrote it.
     pub previous_length: u64,
 }
 
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -194,10 +194,12 @@
         last_sequence: u64,
     ) -> Result<RecoveredSegment> {
         let stored = self.disk.length(&segment.name)?;
-        // Sealed segment: the next header has its valid length. Compacted segment: it was synced completely before its rename.
-        let valid = match segment.generation {
-            0 => next.map(|next| next.previous_length),
-            _ => Some(stored),
+        // Sealed segment: the next header has its valid length. Compacted segment: its own header has it, or else it was written by an
+        // earlier version, and synced completely before its rename.
+        let valid = match (segment.generation, segment.header.previous_length) {
+            (0, _) => next.map(|next| next.previous_length),
+            (_, 0) => Some(stored),
+            (_, own_length) => Some(own_length),
         };
         if let Some(synced_bytes) = valid.filter(|valid| *valid > stored) {
             let reason = DamageReason::TooShort { synced_bytes };
--- a/crates/store/tests/crash.rs
+++ b/crates/store/tests/crash.rs
@@ -249,6 +249,41 @@
     }
 }
 
+/// Guards against keys that vanish in silence: a compacted segment that was cut anywhere, between two records too, is damage, with its
+/// hints and without them.
+#[test]
+fn a_compacted_segment_cut_anywhere_is_damage() {
+    let mut store = Store::open(SimulatedDisk::default(), SMALL).expect("an empty store");
+    let mut written = Written::new();
+    assert!(workload(&mut store, 3, 300, &mut written));
+    store.commit(true).expect("a commit");
+    store.compact_all().expect("compacted");
+    let contents = all(&mut store).expect("its contents");
+    let disk = store.into_disk().after_process_exit();
+    let names = disk.clone().list().expect("names");
+    let compacted: Vec<&String> =
+        names.iter().filter(|name| name.ends_with(".seg") && !name.ends_with("-00000000.seg")).collect();
+    let [segment] = compacted[..] else { panic!("one compacted segment in {names:?}") };
+    let length = disk.clone().length(segment).expect("a length") as usize;
+    for (with_hints, cut) in
+        [true, false].into_iter().flat_map(|hints| (0..=length).map(move |cut| (hints, cut)))
+    {
+        let mut disk = disk.clone();
+        disk.bytes(segment).expect("its bytes").truncate(cut);
+        if !with_hints {
+            disk.remove(&segment.replace(".seg", ".hint")).expect("hints");
+        }
+        match Store::open(disk, SMALL) {
+            Ok(mut store) => {
+                assert_eq!(cut, length, "cut at {cut} of {length}, hints {with_hints}: no damage");
+                assert_eq!(all(&mut store), Ok(contents.clone()));
+            }
+            Err(Error::Damage { file, .. }) => assert!(cut < length && file == *segment, "{cut}: {file}"),
+            Err(other) => panic!("cut at {cut}: {other}"),
+        }
+    }
+}
+
 /// A flipped bit is detected as damage or has no effect; a value that was not written is never read.
 #[test]
 fn a_flipped_bit_is_never_read_as_a_wrong_value() {
