--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -18,7 +18,7 @@
     Dispatcher, FailureCause, ForwardedRequest, IncomingRequest, Peer, RequestError, RequestId,
     ResponseStatus,
 };
-use persistence::{BillingRow, DeferredAction, IdempotencyRecord, KeyState, Persistence};
+use persistence::{BillingRow, DeferredAction, DeferredResponse, IdempotencyRecord, KeyState, Persistence};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -160,6 +160,18 @@
     Resume,
 }
 
+/// Whether the executor has read the reply to a run's call, as far as the link tells. The executor pairs a reply with
+/// whatever call the run waits for.
+#[derive(Clone, Copy, PartialEq)]
+enum ReplyDelivery {
+    /// No byte of it can have been read.
+    NotWritten,
+    /// It ends at this offset in the outbox of the present link.
+    WrittenUpTo(u64),
+    /// It was written whole to a link that broke.
+    Unknown,
+}
+
 struct OpenRequest {
     request_id: RequestId,
     /// The client and stream that are owed the response.
@@ -172,6 +184,8 @@
     stop_requested: bool,
     /// Number of the last command about this request.
     command_number: u64,
+    /// What is known of the reply to the run's call, while it is the last command.
+    reply_delivery: ReplyDelivery,
     /// Body of the pending call, then of its reply.
     call_body: Option<Buf>,
     call: Option<(u64, Time)>,
@@ -205,7 +219,8 @@
 struct SentResponse {
     request_id: RequestId,
     fingerprint: u64,
-    peer: Rc<Peer>,
+    /// The connection that the response was written to last; `None` where the client had left before.
+    peer: Option<Rc<Peer>>,
     expires_at: Time,
     status: ResponseStatus,
     body: Buf,
@@ -432,8 +447,8 @@
             }
             CoreEvent::ConnectionClosed { peer } => self.handle_connection_closed(&peer),
             CoreEvent::ExecutorNotice(notice) => self.handle_notice(notice),
-            CoreEvent::ExecutorConnected(outbox) => self.host.reconnect(outbox),
-            CoreEvent::ExecutorDisconnected => self.host.executor.outbox = None,
+            CoreEvent::ExecutorConnected(outbox) => self.handle_executor_connected(outbox),
+            CoreEvent::ExecutorDisconnected => self.host.disconnect(),
             CoreEvent::CallCompleted { request_id, number, outcome, reply } => {
                 let slot = self.host.slots_by_id.get(&request_id).copied();
                 let known =
@@ -703,7 +718,9 @@
             Some(IdempotencyRecord { state: KeyState::Open(first), .. }) => EarlierAttempt::Known(*first),
             Some(_) => EarlierAttempt::Released,
         };
-        match host.check_duplicate(request_id, fingerprint, &peer, stream) {
+        let scheduler = self.scheduler.as_ref();
+        let is_open = |slot| scheduler.is_some_and(|scheduler| scheduler.is_open(slot));
+        match host.check_duplicate(request_id, fingerprint, &peer, stream, is_open) {
             DuplicateCheck::New => {}
             DuplicateCheck::SameRequest => return,
             DuplicateCheck::Conflict => {
@@ -765,6 +782,7 @@
             run_state: RunState::Idle,
             stop_requested: false,
             command_number: 0,
+            reply_delivery: ReplyDelivery::NotWritten,
             call_body: None,
             call: None,
             call_failed: false,
@@ -813,15 +831,13 @@
         }
         for action in actions {
             match action {
-                DeferredAction::Respond { peer, stream, status, body } => {
+                DeferredAction::Respond(mut response) => {
                     let lost = failure.is_some();
-                    let status = if lost && reject_on_failure {
-                        ResponseStatus::Failed(FailureCause::ExecutionFailed)
-                    } else {
-                        status
-                    };
+                    if lost && reject_on_failure {
+                        response.status = ResponseStatus::Failed(FailureCause::ExecutionFailed);
+                    }
                     add(if lost { &self.host.counters.unrecorded } else { &self.host.counters.recorded });
-                    self.host.write_deferred_response(&peer, stream, status, &body);
+                    self.host.write_deferred_response(response);
                 }
                 DeferredAction::Run(slot, request_id) => {
                     let is_open = self.host.slots_by_id.get(&request_id) == Some(&slot);
@@ -930,6 +946,24 @@
         }
     }
 
+    /// A new link has delivered all missed notices. Requests whose reply may have been read fail: to send it again could
+    /// answer their next call with it.
+    fn handle_executor_connected(&mut self, outbox: Rc<Outbox>) {
+        self.host.executor.outbox = Some(outbox);
+        self.host.resend_commands();
+        while let Some(slot) = self.host.find_unknown_delivery() {
+            let request = self.host.request(slot);
+            (request.reply_delivery, request.run_state) = (ReplyDelivery::NotWritten, RunState::AwaitingCall);
+            let request_id = request.request_id;
+            log!(
+                "request {} fails: the kernel may have read the reply to its call as the link broke",
+                String::from_utf8_lossy(&request_id)
+            );
+            self.host.respond(slot, ResponseStatus::Failed(FailureCause::ExecutionFailed), b"");
+            self.with_scheduler(|scheduler, now, host| scheduler.handle_client_disconnect(now, slot, host));
+        }
+    }
+
     /// Starts the scheduler when the executor boots, with the executor's own report of being cold.
     fn handle_booted(&mut self, cold: bool, age: Time) {
         if self.scheduler.is_some() {
@@ -954,6 +988,10 @@
         let counters = self.host.counters.clone();
         if self.host.request(slot).client.is_none() {
             self.host.complete_without_client(slot, outcome, &body);
+            let class = self.settings.classes.get(self.host.request(slot).class);
+            if class.is_some_and(|class| class.retry_safety == RetrySafety::NonIdempotent) {
+                self.host.save_for_resend(slot, outcome, &body);
+            }
         }
         match outcome {
             Outcome::Succeeded => {
@@ -1001,6 +1039,7 @@
         if let (Some(reply), Outcome::Succeeded, true) = (reply, outcome, is_pending) {
             let request = self.host.request(slot);
             (request.run_state, request.call_body) = (RunState::Resume, Some(reply));
+            request.reply_delivery = ReplyDelivery::NotWritten;
             self.host.send_command(slot);
         }
         self.with_scheduler(|scheduler, _, host| {
@@ -1093,7 +1132,9 @@
             let number =
                 (status == ResponseStatus::Succeeded).then(|| self.record_billing(slot, body)).flatten();
             self.respond_to_followers(slot, status, body);
-            if number.is_some_and(|number| self.respond_after_commit(number, &peer, stream, status, body)) {
+            if number
+                .is_some_and(|number| self.respond_after_commit(number, slot, &peer, stream, status, body))
+            {
                 return;
             }
         }
@@ -1130,46 +1171,40 @@
         );
     }
 
-    /// Defers a response until a batch is finished, where responses wait for the commit.
+    /// Defers a response until a batch is finished, where responses wait for the commit. Returns false where they don't.
     fn respond_after_commit(
         &mut self,
         number: u64,
+        slot: RequestSlot,
         peer: &Rc<Peer>,
         stream: u32,
         status: ResponseStatus,
         body: &[u8],
     ) -> bool {
-        let Some(persistence) =
-            self.persistence.as_mut().filter(|persistence| persistence.respond_after_commit)
-        else {
+        if !self.persistence.as_ref().is_some_and(|persistence| persistence.respond_after_commit) {
             return false;
-        };
+        }
         // The response counts as queued, so that its connection stays open.
         peer.queued_requests.set(peer.queued_requests.get() + 1);
         self.pending_responses += 1;
         let mut saved_body = self.pool.take();
         saved_body.push(body);
-        // Followers wait for the same batch, which is the last one sent.
-        persistence
-            .defer(number, DeferredAction::Respond { peer: peer.clone(), stream, status, body: saved_body });
+        let OpenRequest { request_id, fingerprint, .. } = *self.request(slot);
+        let (peer, body) = (peer.clone(), saved_body);
+        let response = DeferredResponse { request_id, fingerprint, peer, stream, status, body };
+        if let Some(persistence) = self.persistence.as_mut() {
+            // Followers wait for the same batch, which is the last one sent.
+            persistence.defer(number, DeferredAction::Respond(response));
+        }
         true
     }
 
     /// Writes a response that waited for its billing row.
-    fn write_deferred_response(&mut self, peer: &Rc<Peer>, stream: u32, status: ResponseStatus, body: &[u8]) {
+    fn write_deferred_response(&mut self, response: DeferredResponse) {
+        let DeferredResponse { request_id, fingerprint, peer, stream, status, body } = response;
         peer.queued_requests.set(peer.queued_requests.get().saturating_sub(1));
         self.pending_responses -= 1;
-        if peer.is_closed.get() {
-            add(&self.counters.late_answers);
-        } else {
-            peer.writer.write_response(
-                &peer.outbox,
-                stream,
-                status,
-                body,
-                self.server_status.load_feedback.get(),
-            );
-        }
+        self.write_response(request_id, fingerprint, peer.clone(), stream, status, &body);
         peer.outbox.wake.notify_one();
     }
 
@@ -1194,31 +1229,54 @@
             );
         }
         // Protects a request that crossed the close of its connection, after this response: it will be sent once more.
-        if peer.is_closed.get() || peer.close_announced_at.get().is_some() {
-            let mut saved_body = self.pool.take();
-            saved_body.push(body);
-            let expires_at = self.now + RESEND_WINDOW;
-            self.sent_responses.push_back(SentResponse {
-                request_id,
-                fingerprint,
-                peer,
-                expires_at,
-                status,
-                body: saved_body,
-            });
-            // Bounds the memory when many clients close at once, and prevents a second run: a request whose saved body
-            // was released fails when it is sent again.
-            if let Some(at) = self.sent_responses.len().checked_sub(MAX_SAVED_BODIES + 1) {
-                let old = &mut self.sent_responses[at];
-                old.body.release();
-                if old.status == ResponseStatus::Succeeded {
-                    old.status = ResponseStatus::Failed(FailureCause::ExecutionFailed);
-                }
-            }
-            if self.sent_responses.len() > MAX_SAVED_RESPONSES {
-                self.sent_responses.pop_front();
+        if peer.is_ending() {
+            self.save_response(request_id, fingerprint, Some(peer), status, body);
+        }
+    }
+
+    /// Saves the end of a run whose client has left. Protects a non-idempotent request that crossed the close of its
+    /// connection from a second run: it has no key, and will be sent once more.
+    fn save_for_resend(&mut self, slot: RequestSlot, outcome: Outcome, result: &[u8]) {
+        let OpenRequest { request_id, fingerprint, .. } = *self.request(slot);
+        let (status, body) = match outcome {
+            Outcome::NotStarted => return,
+            Outcome::Succeeded => (ResponseStatus::Succeeded, result),
+            _ => (ResponseStatus::Failed(FailureCause::ExecutionFailed), &b""[..]),
+        };
+        self.save_response(request_id, fingerprint, None, status, body);
+    }
+
+    fn save_response(
+        &mut self,
+        request_id: RequestId,
+        fingerprint: u64,
+        peer: Option<Rc<Peer>>,
+        status: ResponseStatus,
+        body: &[u8],
+    ) {
+        let mut saved_body = self.pool.take();
+        saved_body.push(body);
+        let expires_at = self.now + RESEND_WINDOW;
+        self.sent_responses.push_back(SentResponse {
+            request_id,
+            fingerprint,
+            peer,
+            expires_at,
+            status,
+            body: saved_body,
+        });
+        // Bounds the memory when many clients close at once, and prevents a second run: a request whose saved body
+        // was released fails when it is sent again.
+        if let Some(at) = self.sent_responses.len().checked_sub(MAX_SAVED_BODIES + 1) {
+            let old = &mut self.sent_responses[at];
+            old.body.release();
+            if old.status == ResponseStatus::Succeeded {
+                old.status = ResponseStatus::Failed(FailureCause::ExecutionFailed);
             }
         }
+        if self.sent_responses.len() > MAX_SAVED_RESPONSES {
+            self.sent_responses.pop_front();
+        }
     }
 
     /// Hands a billing row to the store; returns the number of its batch.
@@ -1265,7 +1323,7 @@
             .as_ref()
             .and_then(Persistence::pending_batch)
             .filter(|_| status == ResponseStatus::Succeeded);
-        if !batch.is_some_and(|number| self.respond_after_commit(number, &peer, stream, status, body)) {
+        if !batch.is_some_and(|number| self.respond_after_commit(number, slot, &peer, stream, status, body)) {
             self.write_response(request_id, fingerprint, peer, stream, status, body);
         }
         self.replayed.push(slot);
@@ -1290,25 +1348,33 @@
     /// answered request it is the same request if its fingerprint matches and its first connection was closing. It does
     /// not run again; the response goes to the connection that sent it last, at most once to each connection. No other
     /// client receives a response by naming its id.
+    ///
+    /// A request that has finished, and whose entry is only retained for its idempotency key, has nothing more to come:
+    /// its second copy gets the response that was sent, or else is new and found again by its key.
     fn check_duplicate(
         &mut self,
         request_id: RequestId,
         fingerprint: u64,
         peer: &Rc<Peer>,
         stream: u32,
+        is_open: impl Fn(RequestSlot) -> bool,
     ) -> DuplicateCheck {
         if let Some(slot) = self.slots_by_id.get(&request_id).copied() {
             let request = self.request(slot);
-            let is_closing = |peer: &Peer| peer.is_closed.get() || peer.close_announced_at.get().is_some();
             if request.fingerprint != fingerprint
-                || request.client.as_ref().is_some_and(|(first, _)| !is_closing(first))
+                || request.client.as_ref().is_some_and(|(first, _)| !first.is_ending())
             {
                 return DuplicateCheck::Conflict;
             }
-            add(&self.counters.resent);
-            self.detach_client(slot);
-            self.attach_client(slot, peer.clone(), stream);
-            return DuplicateCheck::SameRequest;
+            if is_open(slot) {
+                add(&self.counters.resent);
+                self.detach_client(slot);
+                self.attach_client(slot, peer.clone(), stream);
+                return DuplicateCheck::SameRequest;
+            }
+        }
+        if let Some(check) = self.redirect_deferred_response(&request_id, fingerprint, peer, stream) {
+            return check;
         }
         let Some(response) =
             self.sent_responses.iter_mut().find(|response| response.request_id == request_id)
@@ -1319,7 +1385,7 @@
             return DuplicateCheck::Conflict;
         }
         add(&self.counters.resent);
-        if !Rc::ptr_eq(&response.peer, peer) {
+        if !response.peer.as_ref().is_some_and(|first| Rc::ptr_eq(first, peer)) {
             peer.writer.write_response(
                 &peer.outbox,
                 stream,
@@ -1327,11 +1393,32 @@
                 &response.body,
                 self.server_status.load_feedback.get(),
             );
-            response.peer = peer.clone();
+            response.peer = Some(peer.clone());
         }
         DuplicateCheck::SameRequest
     }
 
+    /// Sends a response that waits for the store to the connection on which its request came once more.
+    fn redirect_deferred_response(
+        &mut self,
+        request_id: &RequestId,
+        fingerprint: u64,
+        peer: &Rc<Peer>,
+        stream: u32,
+    ) -> Option<DuplicateCheck> {
+        let response = self.persistence.as_mut()?.deferred_response(request_id)?;
+        if response.fingerprint != fingerprint || !response.peer.is_ending() {
+            return Some(DuplicateCheck::Conflict);
+        }
+        add(&self.counters.resent);
+        let first = std::mem::replace(&mut response.peer, peer.clone());
+        response.stream = stream;
+        first.queued_requests.set(first.queued_requests.get().saturating_sub(1));
+        first.outbox.wake.notify_one();
+        peer.queued_requests.set(peer.queued_requests.get() + 1);
+        Some(DuplicateCheck::SameRequest)
+    }
+
     // ---- commands to the executor ----
 
     /// Sends the executor the current command for a request. Without a link the command is sent once there is one.
@@ -1363,7 +1450,10 @@
                     (&self.names.classes[request.class], &request.payload[request.body.clone()]);
                 outbox.push(lines::sched(&request_id, service, body).as_bytes());
             }
-            (_, RunState::Resume, Some(reply)) => outbox.push(lines::io_done(&request_id, reply).as_bytes()),
+            (_, RunState::Resume, Some(reply)) if request.reply_delivery != ReplyDelivery::Unknown => {
+                outbox.push(lines::io_done(&request_id, reply).as_bytes());
+                self.request(slot).reply_delivery = ReplyDelivery::WrittenUpTo(outbox.end());
+            }
             _ => {}
         }
     }
@@ -1404,12 +1494,34 @@
         }
     }
 
-    /// A new link has delivered all missed notices: commands sent after the last one known to have been read are sent
-    /// again. Protects runs and stops from a broken link. A run that is already going is not started twice, as the
-    /// executor's notices would have reported its end. A resent reply does harm if the executor had read it and the run
-    /// waits for its next call at that very moment.
-    fn reconnect(&mut self, outbox: Rc<Outbox>) {
-        self.executor.outbox = Some(outbox);
+    /// The link is lost: what it has written whole may have been read, and a line that was cut can't have been.
+    fn disconnect(&mut self) {
+        let Some(outbox) = self.executor.outbox.take() else { return };
+        for request in self.requests.iter_mut().flatten() {
+            if let ReplyDelivery::WrittenUpTo(end) = request.reply_delivery {
+                let is_whole = end <= outbox.written();
+                request.reply_delivery =
+                    if is_whole { ReplyDelivery::Unknown } else { ReplyDelivery::NotWritten };
+            }
+        }
+    }
+
+    /// A request whose run waits for a reply or has read it, while nothing that the executor has sent since tells which.
+    fn find_unknown_delivery(&self) -> Option<RequestSlot> {
+        let read_commands = self.executor.read_commands;
+        self.requests.iter().position(|request| {
+            request.as_ref().is_some_and(|request| {
+                request.run_state == RunState::Resume
+                    && request.reply_delivery == ReplyDelivery::Unknown
+                    && request.command_number > read_commands
+            })
+        })
+    }
+
+    /// Sends again the commands after the last one known to have been read, but for replies that may have been read.
+    /// Protects runs and stops from a broken link. A run that is already going is not started twice, as the executor's
+    /// notices would have reported its end.
+    fn resend_commands(&mut self) {
         for slot in 0..self.requests.len() {
             let Some(request) = self.requests[slot].as_mut() else { continue };
             if request.command_number <= self.executor.read_commands {
@@ -1561,7 +1673,10 @@
                     persistence.release_key(idempotency_key, slot, request.has_run);
                 }
             }
-            self.slots_by_id.remove(&request.request_id);
+            // The id may stand for the second copy of the request by now.
+            if self.slots_by_id.get(&request.request_id) == Some(&slot) {
+                self.slots_by_id.remove(&request.request_id);
+            }
             self.free_slots.push(slot);
         }
     }
