--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -443,7 +443,7 @@
             raise CannotRun("the programs are not built")
         self.record = Record(case)
         self.folder = tempfile.mkdtemp(prefix="cleat-review-")
-        self.servers = []
+        self.servers, self.commands = [], []
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record.say("with the disruption" if self.trouble else "without the disruption (TROUBLE=0)")
 
@@ -461,6 +461,9 @@
         return one
 
     def end(self):
+        for command in self.commands:
+            if command.poll() is None:
+                command.kill()
         for server in self.servers:
             if server.process and server.process.poll() is None:
                 server.process.send_signal(signal.SIGCONT)
@@ -505,6 +508,11 @@
 def run_case(case, play):
     """Plays a case; returns the exit code. `play(place)` returns a list of what broke the rule."""
     place = None
+
+    def stop(number, _):
+        raise CannotRun("ended by signal %d" % number)
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     try:
         place = Place(case)
         broken = play(place)
@@ -552,5 +560,8 @@
     file = place.path("operator.cue")
     if not os.path.exists(file):
         place.write("operator.cue", "keepers: {lease: 2s, all: [%s]}\n" % every)
-    out = subprocess.run([PROGRAM, "policy"] + words + ["--operator", file, "--json"], capture_output=True, text=True)
-    return out.returncode, out.stdout
+    process = subprocess.Popen([PROGRAM, "policy"] + words + ["--operator", file, "--json"], stdin=subprocess.DEVNULL,
+                               stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+    place.commands.append(process)
+    out = process.communicate()[0]
+    return process.returncode, out
