--- a/review/10/case.py
+++ b/review/10/case.py
@@ -42,7 +42,6 @@
         time.sleep(0.05)
         place.record.say("the machine is lost: the app server and its kernel are killed in the drain")
         server.kill()
-        kernel.forget()
     else:
         if server.wait(3.2) is None:
             server.kill()
@@ -53,6 +52,7 @@
         router.close()
     before = stored(place)
     place.record.say("of these the store names %d after the stop" % len(cut_off & before))
+    kernel.forget()
     config["seed"] = "1a2b3c4d5e6f7081"
     server.start()
     server.logged("kernel up")
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -115,8 +115,6 @@
             old, self.link = self.link, link
             if old:
                 old.close()
-            if command["serial"] == 0:  # a new life of the app server: its runs were those of a killed one
-                self.serial, self.notices, self.running, self.ended = 0, [], {}, {}
             self.write(link, {"msg": "BOOTED", "how": "WARM", "duration": 60000})
             for notice in [one for one in self.notices if one["serial"] > command["serial"]]:
                 self.write(link, notice)
@@ -158,12 +156,12 @@
                          "blob": base64.b64encode(result).decode()})
 
     def forget(self):
-        """The kernel was killed with its app server."""
+        """A new life of the app server and its kernel: the numbers of the notices begin anew, and nothing runs."""
         with self.lock:
             for timer, _ in self.running.values():
                 if timer:
                     timer.cancel()
-            self.running, self.ended = {}, {}
+            self.running, self.ended, self.serial, self.notices = {}, {}, 0, []
 
 
 class Roster:
