Review case: bookings served after a reset of their connection are never billed

Cause: complete_without_client stores the result of a run and no billing row; a repeat is answered from that result.

--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -3,7 +3,7 @@
 Written from the protocol pages alone. Everything listens on loopback, on free ports. The record of a case is
 `record.txt` in its folder: what was sent, answered and run, with seconds since the start.
 """
-import base64, json, os, selectors, shutil, signal, socket, struct, subprocess, sys, tempfile, threading, time
+import base64, json, os, select, shutil, signal, socket, struct, subprocess, sys, tempfile, threading, time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -135,7 +135,7 @@
         self.socket = socket.create_connection(address, 5)
         self.socket.settimeout(None)
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.streams, self.answers, self.next, self.ended, self.closing = {}, {}, 1, False, False
+        self.streams, self.answers, self.next, self.ended, self.closing, self.resets = {}, {}, 1, False, False, False
         self.changed = threading.Condition()
         threading.Thread(target=self.read, daemon=True).start()
 
@@ -161,6 +161,12 @@
     def exact(self, many):
         out = b""
         while len(out) < many:
+            if self.resets:
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                self.socket.close()
+                raise EOFError("by a reset from here")
+            if not select.select([self.socket], [], [], 0.005)[0]:
+                continue
             part = self.socket.recv(many - len(out))
             if not part:
                 raise EOFError
@@ -210,6 +216,12 @@
         except OSError:
             pass
 
+    def reset(self):
+        """Resets the connection. The thread that reads does it: while it waits for bytes the socket stays open."""
+        self.resets = True
+        while not self.ended:
+            time.sleep(0.001)
+
 
 class TaskLedger:
     """The ledger of tasks: refuses a token older than one it has seen, and applies each item of a part once."""
