--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,74 +1,41 @@
-"""A worker is killed in its drain with more than twenty requests open: what the drain cut off has to survive."""
-import os
-import signal
-import subprocess
-import sys
-import time
-
-CASE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(CASE, "..", "common-2"))
-from standins import *  # noqa: E402,F403
-
-OPEN = 56
-
-
-def stored(place):
-    """Ids of the requests that the store names as cut off by a drain."""
-    out = subprocess.run([STORE, "dump", place.path("store")], capture_output=True, text=True)
-    place.record.say("cypresscleat-store dump: exit %d, %d rows" % (out.returncode, len(out.stdout.splitlines())))
-    return {line.split("\t")[0][2:] for line in out.stdout.splitlines() if line.startswith("o/")}
-
-
-def play(place):
-    kernel = Kernel("kernel", place.record, lambda service, body: (0.13, b"saved " + body))
-    roster = Roster()
-    categories = classes(("lookup", 2.1, 7.7, "retryable", 5, 1.0), ("check", 1.5, 5.1, "retryable", 5, 2.0),
-                         ("confirm", 2.6, 10, "retryable", 5, 5.0))
-    config = platform("n3", kernel, roster, categories, grace_s=2.0)
-    operator = place.write("operator.cue", 'store: folder: "%s"\n' % place.path("store"))
-    server = place.server("n3", ["serve", "--operator", operator], config).start()
-    server.logged("kernel up")
-    server.logged("ready")
-    routers = [Router(config["listen"], place.record, "router %d" % at) for at in range(2)]
-    router = routers[0]
-    first = router.ask("confirm", b"warm", cpu="125.0")
-    if not router.answer(first, 5):
-        raise CannotRun("no answer before the drain")
-    asked = [(routers[at % 2], routers[at % 2].ask("confirm", b"plot %d" % at, cpu="125.0")) for at in range(OPEN)]
-    time.sleep(0.03)
-    server.signal(signal.SIGTERM)
-    server.logged("draining")
-    if place.trouble:
-        time.sleep(0.05)
-        place.record.say("the machine is lost: the app server and its kernel are killed in the drain")
-        server.kill()
-    else:
-        if server.wait(3.2) is None:
-            server.kill()
-    time.sleep(0.3)
-    cut_off = {router.sent[stream] for router, stream in asked if stream not in router.answers}
-    place.record.say("%d of %d requests were not answered: %s" % (len(cut_off), OPEN, " ".join(sorted(cut_off))))
-    for router in routers:
-        router.close()
-    before = stored(place)
-    place.record.say("of these the store names %d after the stop" % len(cut_off & before))
-    kernel.forget()
-    config["seed"] = "1a2b3c4d5e6f7081"
-    server.start()
-    server.logged("kernel up")
-    server.logged("ready")
-    time.sleep(0.5)
-    named = {txn for txn in cut_off if any(txn in line for line in server.lines())}
-    for line in server.lines():
-        if "cut off" in line:
-            place.record.say("the next life logs: " + line)
-    server.drain(3200)
-    after = stored(place)
-    lost = cut_off & before - named - after
-    place.record.say("the next life named %d, its store names %d, gone without a trace: %d"
-                     % (len(named), len(cut_off & after), len(lost)))
-    return ["%d of %d requests that the drain cut off are in no log line and no longer in the store: %s"
-            % (len(lost), len(cut_off), " ".join(sorted(lost)))] if lost else []
-
-
-sys.exit(run_case(CASE, play))
+"""Requests that were served just before the stop of a drain get no answer: their answers wait for the group commit."""
+import os, signal, sys, time
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
+from harness import *
+
+OPERATIONS = [operation("work-report", 2.4, 5.8, 1.0), operation("billing-tally", 1.4, 3.5, 3.0)]
+STOP_MS, WITHIN_MS = 3000, 500
+
+
+def body(case):
+    record = case.record
+    # The body tells the executor how long the run takes, in milliseconds.
+    executor = Executor(record, "executor", lambda body: (int(body) / 1000, b"done"))
+    operator = 'store: {folder: "%s", within: %dms}\n' % (os.path.join(case.temp, "store"), WITHIN_MS)
+    server = case.server("n0", executor, OPERATIONS, operator, STOP_MS)
+    router = Router(record, "router", server.address)
+    first = router.ask("%016x" % 1, "billing-tally", b"20")
+    if not router.answer(first, 3):
+        raise CannotRun("no answer before the notice")
+    notice = time.monotonic()
+    if TROUBLE:
+        server.signal(signal.SIGTERM)
+    asked = []
+    # All come within the grace of 2.5 s, and each run ends before the stop.
+    for number, (at, length) in enumerate([(0.2, 300), (1.0, 300), (1.9, 700), (2.0, 650), (2.1, 600), (2.2, 550)]):
+        time.sleep(max(0, notice + at - time.monotonic()))
+        asked.append(router.ask("%016x" % (number + 2), "work-report", b"%d" % length))
+    time.sleep(max(0, notice + STOP_MS / 1000 - time.monotonic()))
+    if TROUBLE and server.alive():
+        server.signal(signal.SIGKILL)  # the platform's, stop_ms after the notice
+    time.sleep(1.0)
+    missing = [txn for txn in asked if not router.answer(txn, 0.5)]
+    for txn in asked:
+        answer = router.answer(txn, 0)
+        record("%s was answered %s" % (txn, answer and "%s %.0f ms after the notice" % (answer[0], (answer[3] - notice) * 1000)))
+    if missing:
+        return "%d of %d requests that were read before the grace was over were never answered; all of them had run" % (
+            len(missing), len(asked))
+
+
+play(__file__, body)
--- a/review/harness_3.py
+++ b/review/common-2/harness.py
@@ -1,11 +1,11 @@
-"""Stand-ins and helpers of this review: an executor, a router in frames, a ledger of tasks, processes.
+"""Stand-ins and helpers of the cases 7 and 10: an executor, a router in frames, a ledger of tasks, processes.
 
 Written from the protocol pages alone. Everything listens on loopback, on free ports. The record of a case is
 `record.txt` in its folder: what was sent, answered and run, with seconds since the start.
 """
 import base64, json, os, select, shutil, signal, socket, struct, subprocess, sys, tempfile, threading, time
 
-ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 START = time.monotonic()
 
@@ -392,6 +392,14 @@
     """Runs a case; its exit code is 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     case = Case(script)
     code = 2
+
+    def ended(number, frame):
+        case.record("ended from outside")
+        case.end()
+        os._exit(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, ended)
     watchdog = threading.Timer(110, lambda: (case.record("over 110 s: given up"), case.end(), os._exit(2)))
     watchdog.daemon = True
     watchdog.start()
