Gates see new work alone: a retry of what has run here is never rejected

Cause: admit asked its gates in the order in which they had been added (store, table of keys, policy). The look at the key stood between them, but only the scheduler read its result; the look at the id came behind the store's gate.

No counter had to be added.

Change: admit first identifies the earlier attempt (identify), then asks the scheduler whether the request would run at all (retries_without_running, public now, by which the draining stage decides too); only new work comes to check_gates, in the order as before. A retry whose attempt never ran is new work.

Related paths looked at: drain (its exception stands), memory, quota, deadline and queue (behind deduplication; their victims are queued and have not run, followers get the same answer), Scheduler::reject (fails what has run and must not run again), a run that never started (fails), a forwarder without a worker (Rejected becomes a failure there), check_duplicate and the responses that are saved or wait for the store (asked before all gates now), health checks (no requests), gateways at the connection limit (503 before a byte is read: nothing can be asked).

--- a/crates/scheduler/src/admission/deduplication.rs
+++ b/crates/scheduler/src/admission/deduplication.rs
@@ -87,13 +87,15 @@
 }
 
 impl Scheduler {
-    /// Whether this is a retry that must not run again, since its earlier attempt has run or is still open.
-    pub(crate) fn retries_without_running(&self, arrival: &Arrival) -> bool {
+    /// Whether a request is a retry that must not run again, since its earlier attempt has run or is still open. It gets
+    /// the result of that attempt, and is never rejected: a rejection promises that the request has not run. A host that
+    /// rejects requests by itself has to ask this first.
+    pub fn retries_without_running(&self, class: usize, earlier_attempt: EarlierAttempt) -> bool {
         let is_known = matches!(
-            self.earlier_result(arrival.earlier_attempt),
+            self.earlier_result(earlier_attempt),
             Some(EarlierResult::Replayable | EarlierResult::Failed)
         );
-        is_known && must_not_run_twice(self.estimates.class(arrival.class).retry_safety)
+        is_known && must_not_run_twice(self.estimates.class(class).retry_safety)
     }
 
     fn earlier_result(&self, attempt: EarlierAttempt) -> Option<EarlierResult> {
--- a/crates/scheduler/src/admission/draining.rs
+++ b/crates/scheduler/src/admission/draining.rs
@@ -51,7 +51,7 @@
     request.deadline = request.deadline.min(window.stop_at).max(now);
     request.objective_at = request.objective_at.min(window.stop_at);
     let is_late = request.arrived_at >= window.grace_until || now >= window.stop_at;
-    if is_late && !scheduler.retries_without_running(arrival) {
+    if is_late && !scheduler.retries_without_running(arrival.class, arrival.earlier_attempt) {
         scheduler.reject(now, arrival.slot, RejectReason::Draining, host);
         return AdmissionStep::Ended;
     }
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -2,7 +2,7 @@
 
 use super::executor_link::{ReplyDelivery, RunState};
 use super::incoming::{IncomingRequest, Peer, RequestError, ResponseStatus};
-use super::persistence::{IdempotencyRecord, KeyState, Persistence};
+use super::persistence::{IdempotencyRecord, KeyState};
 use super::resends::{fingerprint, DuplicateCheck};
 use super::{Core, CoreHost, OpenRequest};
 use crate::clock::MS;
@@ -26,6 +26,18 @@
 /// stream, and the request.
 pub(super) type HeldRequest = (Time, Rc<Peer>, u32, IncomingRequest);
 
+/// What the gates decide about new work.
+enum GateDecision {
+    Admit,
+    /// A policy change pauses admission.
+    Hold,
+    Reject {
+        retry_after: Time,
+    },
+    /// The executor is not up yet.
+    NotReady,
+}
+
 impl Core {
     pub(super) fn handle_arrival(
         &mut self,
@@ -91,44 +103,54 @@
     }
 
     /// Admits a request, which then is an open request, or answers it at once.
+    ///
+    /// What became of an earlier attempt is asked before any gate is: a gate rejects, which promises that the request
+    /// has not run, so it must see new work alone.
     fn admit(&mut self, unix_time: Time, peer: Rc<Peer>, stream: u32, request: IncomingRequest) {
-        let host = &mut self.host;
-        let counters = host.counters.clone();
-        let request_id = request.request_id;
-        let fingerprint = fingerprint(request.class, request.body());
-        let requires_key = self
-            .settings
-            .classes
-            .get(request.class)
-            .is_some_and(|class| class.retry_safety == RetrySafety::IdempotencyKey);
-        if requires_key && request.idempotency_key.is_none() {
-            return peer.reject_invalid(&counters, stream, "the request class requires an idempotency key");
-        }
-        if host
-            .persistence
-            .as_ref()
-            .is_some_and(|persistence| persistence.is_failing && persistence.reject_on_failure)
-        {
-            return host.reject_before_admission(&peer, stream, STORE_FAILURE_RETRY_AFTER);
+        let Some(earlier_attempt) = self.identify(unix_time, &peer, stream, &request) else { return };
+        if self.replays_earlier_attempt(request.class, earlier_attempt) {
+            self.ask_policy_gate(&request);
+        } else {
+            match self.check_gates(unix_time, &request) {
+                GateDecision::Admit => {}
+                GateDecision::Hold => return self.hold(unix_time, peer, stream, request),
+                GateDecision::Reject { retry_after } => {
+                    return self.host.reject_before_admission(&peer, stream, retry_after)
+                }
+                GateDecision::NotReady => {
+                    let what = "a request before the kernel is up";
+                    let counters = &self.host.counters;
+                    return peer.reject_malformed(counters, stream, RequestError::NotReady, what);
+                }
+            }
         }
-        // Protects the table of idempotency keys: a key that is not stored could not be recognized on a retry, and its
-        // request would run twice. The limit hurts where more keys arrive within their window than the table can hold.
-        let is_new = |persistence: &Persistence| {
-            request
-                .idempotency_key
-                .as_deref()
-                .is_some_and(|idempotency_key| persistence.record(idempotency_key).is_none())
-        };
-        let full_until = host
-            .persistence
-            .as_ref()
-            .filter(|persistence| requires_key && is_new(persistence))
-            .and_then(Persistence::full_until);
-        if let Some(expires_at) = full_until {
-            add(&counters.tokens_refused);
-            let retry_after = (expires_at - unix_time).clamp(MS, self.settings.max_retry_after.max(MS));
-            return host.reject_before_admission(&peer, stream, retry_after);
+        add(&self.host.counters.invocations);
+        self.open(unix_time, peer, stream, request, earlier_attempt);
+    }
+
+    /// Whether requests of a class run at most once under an idempotency key.
+    fn requires_key(&self, class: usize) -> bool {
+        let class = self.settings.classes.get(class);
+        class.is_some_and(|class| class.retry_safety == RetrySafety::IdempotencyKey)
+    }
+
+    /// Finds the earlier attempt of a request under its idempotency key. Returns `None` where nothing more is to be done:
+    /// the request is invalid, or a second copy of a request that is open or answered.
+    fn identify(
+        &mut self,
+        unix_time: Time,
+        peer: &Rc<Peer>,
+        stream: u32,
+        request: &IncomingRequest,
+    ) -> Option<EarlierAttempt> {
+        let counters = self.host.counters.clone();
+        let requires_key = self.requires_key(request.class);
+        if requires_key && request.idempotency_key.is_none() {
+            peer.reject_invalid(&counters, stream, "the request class requires an idempotency key");
+            return None;
         }
+        let host = &mut self.host;
+        let fingerprint = fingerprint(request.class, request.body());
         // A request under a known key is a retry if its fingerprint matches.
         let arrived_at = request.arrived_at.min(unix_time);
         let idempotency_key = request.idempotency_key.as_deref().filter(|_| requires_key);
@@ -139,16 +161,17 @@
             None => EarlierAttempt::None,
             Some(record) if record.fingerprint != fingerprint => {
                 let what = "the idempotency key of another request";
-                return peer.reject_malformed(&counters, stream, RequestError::Malformed, what);
+                peer.reject_malformed(&counters, stream, RequestError::Malformed, what);
+                return None;
             }
             Some(IdempotencyRecord { state: KeyState::Open(first), .. }) => EarlierAttempt::Known(*first),
             Some(_) => EarlierAttempt::Released,
         };
         let scheduler = self.scheduler.as_ref();
         let is_open = |slot| scheduler.is_some_and(|scheduler| scheduler.is_open(slot));
-        match host.check_duplicate(request_id, fingerprint, &peer, stream, is_open) {
-            DuplicateCheck::New => {}
-            DuplicateCheck::SameRequest => return,
+        match host.check_duplicate(request.request_id, fingerprint, peer, stream, is_open) {
+            DuplicateCheck::New => Some(earlier_attempt),
+            DuplicateCheck::SameRequest => None,
             DuplicateCheck::Conflict => {
                 peer.close_on_violation(
                     &counters,
@@ -156,36 +179,89 @@
                     RequestError::Malformed,
                     "the id of another invocation",
                 );
-                return self.fail_open_requests(&peer);
+                self.fail_open_requests(peer);
+                None
             }
         }
-        let Some(scheduler) = self.scheduler.as_mut() else {
-            let what = "a request before the kernel is up";
-            return peer.reject_malformed(&counters, stream, RequestError::NotReady, what);
-        };
-        if let Some(gate) = &host.gate {
-            match gate.admit(&request_id) {
-                AdmissionPermit::Admit(_) => gate.count_request(),
-                AdmissionPermit::Hold if self.held_requests.len() < MAX_HELD_REQUESTS => {
-                    add(&host.counters.policy_held);
-                    peer.queued_requests.set(peer.queued_requests.get() + 1); // counts as queued, so that its connection stays open
-                    let remaining_timeout = request.remaining_timeout.or(self
-                        .settings
-                        .classes
-                        .get(request.class)
-                        .map(|class| class.timeout));
-                    let deadline = host.now + remaining_timeout.unwrap_or(0)
-                        - (unix_time - request.arrived_at).max(0)
-                        - HELD_REJECT_MARGIN;
-                    return self.held_requests.push_back((deadline, peer, stream, request));
-                }
-                _ => {
-                    add(&host.counters.policy_refused);
-                    return host.reject_before_admission(&peer, stream, OUT_OF_SERVICE_RETRY_AFTER);
-                }
+    }
+
+    /// Whether a request gets the result of its earlier attempt, which runs or has run, and doesn't run itself.
+    fn replays_earlier_attempt(&self, class: usize, earlier_attempt: EarlierAttempt) -> bool {
+        let scheduler = self.scheduler.as_ref();
+        scheduler.is_some_and(|scheduler| scheduler.retries_without_running(class, earlier_attempt))
+    }
+
+    /// Asks each gate whether a request that is new work may be admitted now.
+    fn check_gates(&self, unix_time: Time, request: &IncomingRequest) -> GateDecision {
+        let host = &self.host;
+        if let Some(persistence) = &host.persistence {
+            if persistence.is_failing && persistence.reject_on_failure {
+                return GateDecision::Reject { retry_after: STORE_FAILURE_RETRY_AFTER };
             }
         }
-        add(&host.counters.invocations);
+        if let Some(expires_at) = self.full_key_table_until(request) {
+            add(&host.counters.tokens_refused);
+            let retry_after = (expires_at - unix_time).clamp(MS, self.settings.max_retry_after.max(MS));
+            return GateDecision::Reject { retry_after };
+        }
+        if self.scheduler.is_none() {
+            return GateDecision::NotReady;
+        }
+        match self.ask_policy_gate(request) {
+            None | Some(AdmissionPermit::Admit(_)) => GateDecision::Admit,
+            Some(AdmissionPermit::Hold) if self.held_requests.len() < MAX_HELD_REQUESTS => GateDecision::Hold,
+            Some(AdmissionPermit::Hold | AdmissionPermit::Deny) => {
+                add(&host.counters.policy_refused);
+                GateDecision::Reject { retry_after: OUT_OF_SERVICE_RETRY_AFTER }
+            }
+        }
+    }
+
+    /// Asks the gate of the fleet's policy, where there is one, and counts a request that passes it.
+    fn ask_policy_gate(&self, request: &IncomingRequest) -> Option<AdmissionPermit> {
+        let gate = self.host.gate.as_ref()?;
+        let permit = gate.admit(&request.request_id);
+        if matches!(permit, AdmissionPermit::Admit(_)) {
+            gate.count_request();
+        }
+        Some(permit)
+    }
+
+    /// When the next idempotency key expires, where this request needs an entry and the table has none left. Protects
+    /// against a second run: a key that is not stored could not be recognized on a retry. The limit hurts where more
+    /// keys arrive within their window than the table can hold.
+    fn full_key_table_until(&self, request: &IncomingRequest) -> Option<Time> {
+        let persistence = self.host.persistence.as_ref()?;
+        let idempotency_key = request.idempotency_key.as_deref()?;
+        let needs_entry = self.requires_key(request.class) && persistence.record(idempotency_key).is_none();
+        persistence.full_until().filter(|_| needs_entry)
+    }
+
+    /// Holds a request until the policy change that pauses admission is over.
+    fn hold(&mut self, unix_time: Time, peer: Rc<Peer>, stream: u32, request: IncomingRequest) {
+        add(&self.host.counters.policy_held);
+        peer.queued_requests.set(peer.queued_requests.get() + 1); // counts as queued, so that its connection stays open
+        let class = self.settings.classes.get(request.class);
+        let remaining_timeout = request.remaining_timeout.or(class.map(|class| class.timeout));
+        let deadline = self.host.now + remaining_timeout.unwrap_or(0)
+            - (unix_time - request.arrived_at).max(0)
+            - HELD_REJECT_MARGIN;
+        self.held_requests.push_back((deadline, peer, stream, request));
+    }
+
+    /// Opens a request and hands it to the scheduler.
+    fn open(
+        &mut self,
+        unix_time: Time,
+        peer: Rc<Peer>,
+        stream: u32,
+        request: IncomingRequest,
+        earlier_attempt: EarlierAttempt,
+    ) {
+        let requires_key = self.requires_key(request.class);
+        let Some(scheduler) = self.scheduler.as_mut() else { return };
+        let host = &mut self.host;
+        let request_id = request.request_id;
         let mut arrival = Arrival {
             class: request.class,
             tenant: request.tenant,
@@ -202,9 +278,9 @@
             request_id,
             client: None,
             class: request.class,
+            fingerprint: fingerprint(request.class, request.body()),
             payload: request.bytes,
             body: request.body,
-            fingerprint,
             run_state: RunState::Idle,
             stop_requested: false,
             command_number: 0,
--- a/crates/server/tests/core.rs
+++ b/crates/server/tests/core.rs
@@ -5,6 +5,8 @@
 mod broken_links;
 #[path = "core_cases/drain_rows.rs"]
 mod drain_rows;
+#[path = "core_cases/gates.rs"]
+mod gates;
 #[path = "core_cases/keyed_requests.rs"]
 mod keyed_requests;
 #[path = "core_cases/resends.rs"]
--- a/crates/server/tests/core_cases/scenario.rs
+++ b/crates/server/tests/core_cases/scenario.rs
@@ -11,21 +11,26 @@
 //!   TIME ledger TXN OUTCOME           the newest call of the request TXN ended with OUTCOME (words of the downstream
 //!                                     proxy's protocol, or `unreached`, `broken`; the reply of `posted` is "reply")
 //!   TIME term MS                      termination notice
+//!   TIME policy admits|holds|denies [silently]   the gate of the fleet's policy changes, and the core is notified or not yet
+//!   TIME store fails|recovers         the store reports that it can't persist, or that it can again
 //!   TIME pass                         only time passes; due ticks run before every event
 //!   expect WORDS | refuse WORDS       some | no output since the last event begins with these words
 //!   owed N                            number of pending responses
 //! Outputs: `kernel MSG TXN [BODY]`, `NAME STREAM succeeded|throttled|errored [BODY]`, `ledger post TXN MS BODY`,
 //! `ledger abandon TXN`. A txn is written without its leading zeros.
 
+use cypresscleat_rollout::member::RolloutMember;
 use cypresscleat_scheduler::{Outcome, Time};
 use cypresscleat_server::config;
 use cypresscleat_server::core::incoming::{Peer, RequestId};
 use cypresscleat_server::core::persistence::{Persistence, RecoveredState, WriteBatch};
 use cypresscleat_server::core::{Core, CoreEvent, DownstreamCommand, Shared};
 use cypresscleat_server::frames::{self, NextFrame};
+use cypresscleat_server::leases::MonotonicClock;
 use cypresscleat_server::lines;
 use cypresscleat_server::listeners::frames::{read_request, FrameWriter};
 use cypresscleat_server::pool::{Buf, Outbox, BUFFER_BYTES};
+use cypresscleat_server::rollout::admission_gate::AdmissionGate;
 use cypresscleat_settings::Names;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -54,6 +59,7 @@
     pub peers: BTreeMap<String, Rc<Peer>>,
     call_numbers: BTreeMap<RequestId, u64>,
     store: Option<Receiver<WriteBatch>>,
+    gate: Option<Rc<AdmissionGate>>,
     /// What is written to the executor stays in the outbox, for a link that breaks in the middle of it.
     pub holds_kernel_output: bool,
     /// The store can't persist what it gets while this is set.
@@ -106,6 +112,11 @@
     }
 
     pub fn start_with_store(changes: &[&str], mode: StoreMode) -> Scenario {
+        Scenario::start_recovered(changes, mode, RecoveredState::default())
+    }
+
+    /// Starts on the state that the process before has left in the store.
+    pub fn start_recovered(changes: &[&str], mode: StoreMode, recovered: RecoveredState) -> Scenario {
         let mut json_config: serde_json::Value =
             serde_json::from_str(include_str!("../../../demo/config.json"))
                 .expect("the example configuration");
@@ -120,7 +131,7 @@
         let store = (mode != StoreMode::None).then(|| {
             let (sender, receiver) = sync_channel(STORE_QUEUE);
             let responds_after = mode == StoreMode::RespondAfterCommit;
-            core.set_persistence(Persistence::new(sender, responds_after, true, RecoveredState::default()).0);
+            core.set_persistence(Persistence::new(sender, responds_after, true, recovered).0);
             receiver
         });
         let kernel = Rc::new(Outbox::new(&shared.pool));
@@ -133,6 +144,7 @@
             peers,
             call_numbers,
             store,
+            gate: None,
             holds_commits: false,
             fails_commits: false,
             committed_through: 0,
@@ -143,6 +155,32 @@
         }
     }
 
+    /// Puts the server under a fleet's policy, which denies until a step changes it.
+    pub fn set_policy(&mut self) {
+        let gate = Rc::new(AdmissionGate::new(MonotonicClock::start(), "m0"));
+        self.core.set_gate(gate.clone());
+        self.gate = Some(gate);
+    }
+
+    fn change_policy(&mut self, state: &str, is_notified: bool) {
+        let gate = self.gate.clone().expect("a server under a policy");
+        let mut member = RolloutMember::new(0, "m0", (1, 1), vec![2]);
+        member.tick(0);
+        if state != "denies" {
+            member.start_alone(0);
+        }
+        gate.update(&member);
+        match state {
+            "admits" => gate.apply(0),
+            "holds" => gate.close(0),
+            "denies" => {}
+            _ => panic!("unknown state of the policy: {state}"),
+        }
+        if is_notified {
+            self.handle_event(CoreEvent::GateChanged);
+        }
+    }
+
     fn buf(&self, bytes: &[u8]) -> Buf {
         let mut buf = self.shared.pool.take();
         assert_eq!(buf.push(bytes), bytes.len());
@@ -166,6 +204,16 @@
                 self.handle_event(CoreEvent::ExecutorDisconnected);
                 self.kernel = Rc::new(Outbox::new(&self.shared.pool));
             }
+            ["policy", state] => self.change_policy(state, true),
+            ["policy", state, "silently"] => self.change_policy(state, false),
+            ["store", "fails"] => {
+                self.fails_commits = true;
+                self.report_store(Some("the disk is full".to_string()));
+            }
+            ["store", "recovers"] => {
+                self.fails_commits = false;
+                self.report_store(None);
+            }
             ["term", ms] => {
                 let within = ms.parse::<Time>().expect("milliseconds") * 10;
                 self.handle_event(CoreEvent::Drain { within });
@@ -244,8 +292,13 @@
 
     /// The store reports that it can persist again.
     pub fn recover_store(&mut self) {
+        self.report_store(None);
+    }
+
+    /// The store reports whether it can persist, with nothing new finished.
+    fn report_store(&mut self, failure: Option<String>) {
         let acknowledged_through = self.committed_through;
-        self.handle_event(CoreEvent::Persisted { acknowledged_through, failure: None });
+        self.handle_event(CoreEvent::Persisted { acknowledged_through, failure });
     }
 
     /// Outputs since the last event that begin with `start`, without it.
