A retry that comes before the executor is up gets its stored result

What callers saw: after a restart on its store, until its executor was up, a server answered the retry of a request that had run with "not ready": over SCGI a 503 with Retry-After, a rejection; in frames a failure.

Cause: admit gave up where there is no scheduler, which starts with the executor, before it used what it knew of the key.

Change: such a retry is opened, answered from its record and released without the scheduler: the result, or a failure where the end of the run is not known. Without a scheduler no record can be open, so nothing waits. New work gets "not ready" as before (tests/core/before_the_kernel.txt).

Result: with the branch taken out a_retry_that_comes_before_the_executor_is_up_gets_the_stored_result fails with "errored" in place of the result; now it passes, and after the start of the executor the same retry gets the same.

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -31,6 +31,7 @@
 mod resends;
 
 pub use events::{CoreEvent, DownstreamCommand, DownstreamCommands, ServerStatus};
+pub use resends::fingerprint;
 
 /// How long the scheduler's timer waits for gauges that were requested when it fired. After that the tick uses the last
 /// gauges, or none if those are older than `MAX_GAUGES_AGE`.
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -8,7 +8,7 @@
 use crate::clock::MS;
 use crate::counters::add;
 use cypresscleat_rollout::member::AdmissionPermit;
-use cypresscleat_scheduler::{Arrival, EarlierAttempt, RetrySafety, Time};
+use cypresscleat_scheduler::{Arrival, EarlierAttempt, Host, RetrySafety, Time};
 use std::rc::Rc;
 
 /// Maximum number of open requests on one connection.
@@ -187,8 +187,11 @@
 
     /// Whether a request gets the result of its earlier attempt, which runs or has run, and doesn't run itself.
     fn replays_earlier_attempt(&self, class: usize, earlier_attempt: EarlierAttempt) -> bool {
-        let scheduler = self.scheduler.as_ref();
-        scheduler.is_some_and(|scheduler| scheduler.retries_without_running(class, earlier_attempt))
+        match &self.scheduler {
+            Some(scheduler) => scheduler.retries_without_running(class, earlier_attempt),
+            // Before the executor is up only results of the process before are known.
+            None => earlier_attempt != EarlierAttempt::None,
+        }
     }
 
     /// Asks each gate whether a request that is new work may be admitted now.
@@ -249,7 +252,8 @@
         self.held_requests.push_back((deadline, peer, stream, request));
     }
 
-    /// Opens a request and hands it to the scheduler.
+    /// Opens a request and hands it to the scheduler. Before the executor is up there is none, and the request is one
+    /// whose result the process before has stored.
     fn open(
         &mut self,
         unix_time: Time,
@@ -259,7 +263,6 @@
         earlier_attempt: EarlierAttempt,
     ) {
         let requires_key = self.requires_key(request.class);
-        let Some(scheduler) = self.scheduler.as_mut() else { return };
         let host = &mut self.host;
         let request_id = request.request_id;
         let mut arrival = Arrival {
@@ -307,6 +310,10 @@
         });
         let slot = arrival.slot;
         host.attach_client(slot, peer, stream);
+        let Some(scheduler) = self.scheduler.as_mut() else {
+            host.replay_result(slot);
+            return host.release(slot);
+        };
         scheduler.handle_arrival(host.now, arrival, host);
         if host.is_draining && host.slots_by_id.get(&request_id) == Some(&slot) {
             host.persist_open_requests(slot..slot + 1);
--- a/crates/server/src/core/resends.rs
+++ b/crates/server/src/core/resends.rs
@@ -36,7 +36,7 @@
 }
 
 /// Two requests with the same id are the same request if their fingerprints are equal.
-pub(super) fn fingerprint(class: usize, body: &[u8]) -> u64 {
+pub fn fingerprint(class: usize, body: &[u8]) -> u64 {
     let mut hasher = DefaultHasher::new();
     (class, body).hash(&mut hasher);
     hasher.finish()
--- a/crates/server/tests/core_cases/gates.rs
+++ b/crates/server/tests/core_cases/gates.rs
@@ -2,6 +2,7 @@
 //! retry arrives whose earlier attempt was admitted: the retry gets what became of that attempt. New work is rejected or held.
 
 use super::scenario::{Scenario, StoreMode};
+use cypresscleat_server::core::persistence::{IdempotencyRecord, KeyState, RecoveredState};
 
 /// What shuts a gate; played before the retry comes.
 const GATES: [(&str, StoreMode, &[&str]); 6] = [
@@ -187,3 +188,29 @@
         }
     }
 }
+
+/// Guards against a second effect elsewhere: after a restart, before the executor is up, a retry was answered as if nothing were known
+/// of its first attempt, which gateways read as a rejection.
+#[test]
+fn a_retry_that_comes_before_the_executor_is_up_gets_the_stored_result() {
+    let (expires_at, ask) = (i64::MAX / 2, b"ask");
+    for (state, expected) in [
+        (KeyState::Completed(b"result".to_vec()), "expect b 1 succeeded result"),
+        (KeyState::Started, "expect b 1 errored"),
+    ] {
+        let fingerprint = cypresscleat_server::core::fingerprint(1, ask);
+        let record = IdempotencyRecord { fingerprint, expires_at, state };
+        let recovered = RecoveredState { records: vec![("k".to_string(), record)], interrupted: Vec::new() };
+        let settings = [r#"/settings/categories/1/effect "dedup""#];
+        let mut scenario = Scenario::start_recovered(&settings, StoreMode::RespondAfterCommit, recovered);
+        scenario.run_line("10 b sends 1 1 unique=k");
+        scenario.run_line(expected);
+        scenario.run_line("owed 0");
+        assert_eq!(scenario.shared.counters.repeated.get(), 1, "answered by its key, not as new work");
+        scenario.run_line(r#"20 kernel {"msg":"BOOTED","how":"WARM","duration":20}"#);
+        scenario.run_line("20 link");
+        scenario.run_line("30 b sends 2 2 unique=k");
+        scenario.run_line("refuse kernel SCHED");
+        scenario.run_line(&expected.replace(" 1 ", " 2 "));
+    }
+}
