Held requests are evaluated before any that comes later

What callers saw: nothing on record. In the moment in which a policy change ends, a retry could be admitted before its first attempt, which was held; that one could then be rejected at the end of its time although its request ran.

Cause: the gate opens when the member's task has heard so; the core evaluates what is held when the event of it has come through its queue. A request ahead of that event finds the gate open.

By reading, a request is new work when it is held, and each way out of holding evaluates it anew and in order, but for this one: so the order is mended, and expire_held may reject without a look at keys.

Change: while requests are held and the gate holds no longer, they are evaluated before the one that arrives.

Result: with the change taken out a_retry_does_not_overtake_its_held_first_attempt fails with "kernel SCHED 2" in place of "SCHED 1"; now it passes.

--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -87,6 +87,11 @@
                 "the id of a rejected request",
             );
         }
+        // A request that comes later must not overtake one that is held: it could be a retry of it.
+        let is_holding = self.host.gate.as_ref().is_some_and(|gate| gate.permit() == AdmissionPermit::Hold);
+        if !self.held_requests.is_empty() && !is_holding {
+            self.admit_held(unix_time);
+        }
         self.admit(unix_time, peer, stream, request);
     }
 
--- a/crates/server/tests/core_cases/gates.rs
+++ b/crates/server/tests/core_cases/gates.rs
@@ -189,6 +189,23 @@
     }
 }
 
+/// Guards the order of a key's attempts: a policy change is over, the core has not yet been notified of it, and a retry overtook the
+/// held first attempt, which was then rejected at the end of its time.
+#[test]
+fn a_retry_does_not_overtake_its_held_first_attempt() {
+    let mut scenario = start("dedup", StoreMode::None);
+    scenario.run_line("10 policy holds");
+    scenario.run_line("11 a sends 1 1 unique=k");
+    scenario.run_line("100 policy admits silently");
+    scenario.run_line("101 b sends 9 2 unique=k");
+    scenario.run_line("expect kernel SCHED 1 ask");
+    scenario.run_line("refuse kernel SCHED 2");
+    scenario.run_line(&format!("120 {}", reap("1", "OK")));
+    scenario.run_line("expect a 1 succeeded result");
+    scenario.run_line("expect b 9 succeeded result");
+    scenario.run_line("owed 0");
+}
+
 /// Guards against a second effect elsewhere: after a restart, before the executor is up, a retry was answered as if nothing were known
 /// of its first attempt, which gateways read as a rejection.
 #[test]
