In a drain retries that wait for a result are answered before the stop

What callers saw: a retry under the key of a request whose run did not end had no answer when the process was stopped.

Cause: start_draining limits the deadlines of queued and active requests to the stop; a retry that waits for the result of an earlier attempt is neither. One that is read past that time, in the last 40 ms, was left to the next tick, which may come after the kill.

Decisions: changed in drains only.

--- a/crates/scheduler/src/admission/draining.rs
+++ b/crates/scheduler/src/admission/draining.rs
@@ -36,6 +36,11 @@
     pub(crate) fn is_draining(&self) -> bool {
         self.window.is_some()
     }
+
+    /// Whether the time is over by which all requests are answered in a drain.
+    pub(crate) fn is_past_stop(&self, now: Time) -> bool {
+        self.window.is_some_and(|window| now >= window.stop_at)
+    }
 }
 
 /// While draining, rejects requests that arrived after the grace period or are read once the stop is reached, and limits
@@ -59,6 +64,12 @@
 }
 
 impl Scheduler {
+    /// By when all requests must have received their final response; `None` until the termination notice. A host that
+    /// holds back responses has to send them by then.
+    pub fn drain_deadline(&self) -> Option<Time> {
+        self.draining.window.map(|window| window.stop_at)
+    }
+
     /// Handles the termination notice: the server will be stopped after `within`. Health checks fail from now on, and all
     /// requests receive their final response before the stop.
     pub fn start_draining(&mut self, now: Time, within: Time, host: &mut impl Host) {
@@ -67,8 +78,9 @@
         host.set_health(false, true);
         let (queued, active) = (self.requests.queued().len(), self.requests.active().len());
         host.log(&SchedulerEvent::DrainingStarted { queued, active, within });
+        let waiting = self.requests.awaiting_result();
         let open: Vec<RequestSlot> =
-            self.requests.queued().iter().chain(self.requests.active()).copied().collect();
+            self.requests.queued().iter().chain(self.requests.active()).copied().chain(waiting).collect();
         for slot in open {
             self.requests.update(slot, |request| {
                 request.deadline = request.deadline.min(stop_at);
--- a/crates/scheduler/src/request_table.rs
+++ b/crates/scheduler/src/request_table.rs
@@ -133,6 +133,13 @@
         &self.active
     }
 
+    /// The requests that wait for the result of an earlier attempt.
+    pub(crate) fn awaiting_result(&self) -> Vec<RequestSlot> {
+        let is_waiting = |request: &RequestState| request.phase == Phase::AwaitingResult;
+        let is_waiting_in = |slot: &RequestSlot| self.get(*slot).is_some_and(is_waiting);
+        (0..self.requests.len()).filter(is_waiting_in).collect()
+    }
+
     /// The states of the active requests.
     pub(crate) fn active_states(&self) -> impl Iterator<Item = &RequestState> {
         self.active.iter().filter_map(|slot| self.requests[*slot].as_ref())
