An answer that waits for its row is sent by its caller's time, and before a drain's stop

Outside a drain the same wait could pass the client's timeout.

Cause: once an answer waits for the group commit the scheduler takes its request for answered and drops its timer; nothing compared the wait with the client's timeout or the stop, and the store's thread waited all of within.

The bound is the store's thread: in the new test a group of 20 s is committed after 20.0 s although its batch is needed after 0.1 s. Of the hard cases the full queue was broken too: under full: "refuse" a success went out at once and unrecorded, and a keyed request ran without the record of its start.

Change: a waiting answer has a time, the earlier of its client's timeout and the scheduler's drain_deadline; its batch names the latest time of its commit, 50 ms before; the notice brings forward what waits. Where the disk has not answered by then full decides, as for a write that fails (docs/design/store.md has the sentences): unrecorded, or a failure and no new work until it answers. What the queue doesn't take counts as not recorded. A second notice changes nothing, in the core too.

Related paths: retries that get a result (own time, and a commit brought forward if theirs is earlier), second copies (take the waiting response with its time), runs that wait for their start's record (the scheduler's timers answer them; left as they were: such a run still begins when a commit comes after its client was answered), batches with durability each (no group; the core's time bounds them), the end of the process (pending answers hold it, as before).

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -110,10 +110,14 @@
     dispatcher: Option<Rc<dyn Dispatcher>>,
     /// Requests answered by a stored result: the scheduler is told that their clients have left.
     replayed: Vec<RequestSlot>,
+    /// Runs whose start the store did not take: they end without having begun.
+    unrecorded_starts: Vec<(RequestSlot, RequestId)>,
     /// Decides whether requests may be admitted, where a fleet policy is in force.
     gate: Option<Rc<AdmissionGate>>,
     /// A drain is under way: open requests are recorded in the store.
     is_draining: bool,
+    /// By when all responses must be sent in a drain.
+    drain_deadline: Option<Time>,
     /// Billing terms of each request class: its value, its latency objective and the share billed when late.
     class_values: Vec<(f64, Time, f64)>,
     /// When the scheduler's timer fires, and when a tick goes ahead without the requested gauges.
@@ -195,8 +199,10 @@
             persistence: None,
             dispatcher: None,
             replayed: Vec::new(),
+            unrecorded_starts: Vec::new(),
             gate: None,
             is_draining: false,
+            drain_deadline: None,
             class_values: settings
                 .classes
                 .iter()
@@ -242,7 +248,8 @@
     /// When `tick` must be called next.
     pub fn wake_at(&self) -> Time {
         let held = self.held_requests.iter().map(|held| held.0).min().unwrap_or(Time::MAX);
-        self.host.gauges_deadline.unwrap_or(self.host.wake_at).min(held)
+        let deferred = self.host.persistence.as_ref().map_or(Time::MAX, Persistence::next_respond_by);
+        self.host.gauges_deadline.unwrap_or(self.host.wake_at).min(held).min(deferred)
     }
     /// Nothing runs any more, and no client waits.
     pub fn is_done(&self) -> bool {
@@ -257,11 +264,10 @@
     pub fn handle_event(&mut self, now: Time, unix_time: Time, event: CoreEvent) {
         (self.host.now, self.host.unix_time) = (now, unix_time);
         self.dispatch_event(unix_time, event);
-        self.release_replayed();
+        self.settle();
     }
 
     fn dispatch_event(&mut self, unix_time: Time, event: CoreEvent) {
-        let now = self.host.now;
         match event {
             CoreEvent::RequestArrived { peer, stream, request } => {
                 self.handle_arrival(unix_time, peer, stream, request)
@@ -318,15 +324,30 @@
                 self.handle_gate_change(unix_time);
             }
             CoreEvent::GateChanged => self.handle_gate_change(unix_time),
-            CoreEvent::Drain { within } => {
-                self.host.server_status.accepts_work.set(false);
-                self.drain_notice = Some((now, within));
-                self.closes_at = now + self.settings.drain_grace;
-                self.host.server_status.is_closing.set(self.scheduler.is_none()); // nothing to wait for without a scheduler
-                self.host.is_draining = true;
-                self.host.persist_open_requests(0..self.host.requests.len());
-                self.with_scheduler(|scheduler, now, host| scheduler.start_draining(now, within, host));
-            }
+            CoreEvent::Drain { within } => self.handle_drain(within),
+        }
+    }
+
+    /// Handles the termination notice: the process is stopped after `within`. A second notice changes nothing.
+    fn handle_drain(&mut self, within: Time) {
+        if self.drain_notice.is_some() {
+            return;
+        }
+        let now = self.host.now;
+        self.host.server_status.accepts_work.set(false);
+        self.drain_notice = Some((now, within));
+        self.closes_at = now + self.settings.drain_grace;
+        self.host.server_status.is_closing.set(self.scheduler.is_none()); // nothing to wait for without a scheduler
+        self.host.is_draining = true;
+        self.host.persist_open_requests(0..self.host.requests.len());
+        self.with_scheduler(|scheduler, now, host| scheduler.start_draining(now, within, host));
+        self.limit_deferred_responses();
+    }
+
+    /// Limits the wait for the store to the time by which a drain must have answered everything.
+    fn limit_deferred_responses(&mut self) {
+        if let Some(deadline) = self.scheduler.as_ref().and_then(Scheduler::drain_deadline) {
+            self.host.set_drain_deadline(deadline);
         }
     }
 
@@ -351,6 +372,7 @@
         self.host.unix_time += (now - self.host.now).max(0);
         self.host.now = now;
         self.expire_held(now);
+        self.host.release_overdue_responses();
         if now < self.host.gauges_deadline.unwrap_or(self.host.wake_at) {
             return;
         }
@@ -395,7 +417,7 @@
         let fresh = now - self.host.gauges_at <= MAX_GAUGES_AGE;
         let gauges = if fresh { self.host.gauges } else { Gauges::default() };
         self.with_scheduler(|scheduler, now, host| scheduler.tick(now, gauges, host));
-        self.release_replayed();
+        self.settle();
     }
 
     fn update_slow_start_limit(&self) {
@@ -412,8 +434,12 @@
 
     // ---- clients ----
 
-    /// Releases requests that were answered by another request's result: the scheduler is done with them too.
-    fn release_replayed(&mut self) {
+    /// Ends the runs that could not be put on record, and releases requests that were answered by another request's
+    /// result: the scheduler is done with them too.
+    fn settle(&mut self) {
+        while let Some((slot, request_id)) = self.host.unrecorded_starts.pop() {
+            self.cancel_start(slot, &request_id, Outcome::NotStarted);
+        }
         while let Some(slot) = self.host.replayed.pop() {
             self.with_scheduler(|scheduler, now, host| scheduler.handle_client_disconnect(now, slot, host));
         }
@@ -526,6 +552,7 @@
             scheduler.start_draining(at, within, &mut self.host);
         }
         self.scheduler = Some(scheduler);
+        self.limit_deferred_responses();
         self.host.readiness.mark_executor_up();
         self.update_slow_start_limit();
     }
@@ -669,6 +696,8 @@
     /// until its billing row is persisted.
     fn respond(&mut self, slot: RequestSlot, status: ResponseStatus, body: &[u8]) {
         let Some((peer, stream)) = self.detach_client(slot) else { return };
+        self.clear_drain_row(slot);
+        let (status, body, number) = self.record_success(slot, status, body);
         let counters = &self.counters;
         add(match status {
             ResponseStatus::Succeeded => &counters.succeeded,
@@ -685,16 +714,9 @@
         if matches!(status, ResponseStatus::Rejected { .. }) {
             peer.last_rejected.set(Some(request_id));
         }
-        if self.persistence.is_some() {
-            self.clear_drain_row(slot);
-            let number =
-                (status == ResponseStatus::Succeeded).then(|| self.record_billing(slot, body)).flatten();
-            self.respond_to_followers(slot, status, body);
-            if number
-                .is_some_and(|number| self.respond_after_commit(number, slot, &peer, stream, status, body))
-            {
-                return;
-            }
+        self.respond_to_followers(slot, status, body);
+        if number.is_some_and(|number| self.respond_after_commit(number, slot, &peer, stream, status, body)) {
+            return;
         }
         self.write_response(request_id, fingerprint, peer, stream, status, body);
         // The request was never run and never will be.
@@ -761,6 +783,7 @@
         let (value, objective, late_share) = self.class_values.get(request.class).copied()?;
         let in_time = self.unix_time - request.arrived_at <= objective;
         let tenant = request.tenant.and_then(|at| self.names.tenants.get(at)).map_or("", String::as_str);
+        let respond_by = self.drain_deadline.unwrap_or(Time::MAX).min(request.deadline);
         let row = BillingRow {
             request_id: &request.request_id,
             class: &self.names.classes[request.class],
@@ -770,7 +793,7 @@
             completed_at: self.unix_time,
         };
         let persistence = self.persistence.as_mut()?;
-        let number = persistence.record_billing(&row, request.idempotency_key.as_deref(), body);
+        let number = persistence.record_billing(&row, request.idempotency_key.as_deref(), body, respond_by);
         if persistence.has_store() {
             add(if number.is_none() { &self.counters.unrecorded } else { &self.counters.rows });
         }
@@ -853,8 +876,11 @@
         let (request_id, idempotency_key) = (request.request_id, request.idempotency_key.clone());
         // A request with an idempotency key runs once its start is on record.
         if let (Some(idempotency_key), Some(persistence)) = (idempotency_key, self.persistence.as_mut()) {
-            if let Some(number) = persistence.record_start(&idempotency_key) {
-                persistence.defer(number, DeferredAction::Run(slot, request_id));
+            if persistence.has_store() {
+                match persistence.record_start(&idempotency_key) {
+                    Some(number) => persistence.defer(number, DeferredAction::Run(slot, request_id)),
+                    None => self.unrecorded_starts.push((slot, request_id)),
+                }
                 self.request(slot).is_starting = true;
                 return;
             }
--- a/crates/server/src/core/commits.rs
+++ b/crates/server/src/core/commits.rs
@@ -1,12 +1,11 @@
 //! What waits for the store: responses until their billing rows are persisted, and runs until their start is on record.
 
 use super::executor_link::RunState;
-use super::incoming::{FailureCause, Peer, ResponseStatus};
+use super::incoming::{FailureCause, Peer, RequestId, ResponseStatus};
 use super::persistence::{DeferredAction, DeferredResponse};
 use super::{Core, CoreHost, OpenRequest};
 use crate::counters::add;
-use crate::log;
-use cypresscleat_scheduler::{Outcome, RequestSlot};
+use cypresscleat_scheduler::{Outcome, RequestSlot, Time};
 use std::rc::Rc;
 
 impl Core {
@@ -14,23 +13,13 @@
     pub(super) fn handle_persisted(&mut self, acknowledged_through: u64, failure: Option<String>) {
         let Some(persistence) = self.host.persistence.as_mut() else { return };
         let actions = persistence.acknowledge(acknowledged_through);
-        let reject_on_failure = persistence.reject_on_failure;
-        if std::mem::replace(&mut persistence.is_failing, failure.is_some()) != failure.is_some() {
-            match &failure {
-                Some(what) => {
-                    log!(
-                        "store: {what}; {}",
-                        if reject_on_failure { "nothing is taken" } else { "served unrecorded" }
-                    )
-                }
-                None => log!("store: it keeps again"),
-            }
-        }
+        let rejects_on_failure = persistence.reject_on_failure;
+        persistence.set_failing(failure.as_deref());
         for action in actions {
             match action {
                 DeferredAction::Respond(mut response) => {
                     let lost = failure.is_some();
-                    if lost && reject_on_failure {
+                    if lost && rejects_on_failure {
                         response.status = ResponseStatus::Failed(FailureCause::ExecutionFailed);
                     }
                     add(if lost { &self.host.counters.unrecorded } else { &self.host.counters.recorded });
@@ -38,19 +27,11 @@
                 }
                 DeferredAction::Run(slot, request_id) => {
                     let is_open = self.host.slots_by_id.get(&request_id) == Some(&slot);
-                    if !is_open || !std::mem::take(&mut self.host.request(slot).is_starting) {
-                        continue;
-                    }
-                    if failure.is_some() || self.host.request(slot).stop_requested {
-                        // The request never ran: its key must not be recorded as started.
-                        let empty = self.host.pool.take();
-                        self.host.request(slot).has_run = false;
-                        self.handle_run_completed(
-                            slot,
-                            if failure.is_some() { Outcome::NotStarted } else { Outcome::Cancelled },
-                            empty,
-                        );
-                    } else {
+                    if failure.is_some() {
+                        self.cancel_start(slot, &request_id, Outcome::NotStarted);
+                    } else if is_open && self.host.request(slot).stop_requested {
+                        self.cancel_start(slot, &request_id, Outcome::Cancelled);
+                    } else if is_open && std::mem::take(&mut self.host.request(slot).is_starting) {
                         self.host.request(slot).run_state = RunState::Run;
                         self.host.send_command(slot);
                     }
@@ -58,9 +39,76 @@
             }
         }
     }
+
+    /// Ends a run that waited for its start to be put on record and never begins: its key must not be recorded as
+    /// started.
+    pub(super) fn cancel_start(&mut self, slot: RequestSlot, request_id: &RequestId, outcome: Outcome) {
+        let is_open = self.host.slots_by_id.get(request_id) == Some(&slot);
+        if !is_open || !std::mem::take(&mut self.host.request(slot).is_starting) {
+            return;
+        }
+        let empty = self.host.pool.take();
+        self.host.request(slot).has_run = false;
+        self.handle_run_completed(slot, outcome, empty);
+    }
 }
 
 impl CoreHost {
+    /// Records a success in the store. Returns the response, and the number of the batch that has its row. A success that
+    /// the store doesn't take is no success where nothing may be served unrecorded.
+    pub(super) fn record_success<'a>(
+        &mut self,
+        slot: RequestSlot,
+        status: ResponseStatus,
+        body: &'a [u8],
+    ) -> (ResponseStatus, &'a [u8], Option<u64>) {
+        if status != ResponseStatus::Succeeded {
+            return (status, body, None);
+        }
+        let number = self.record_billing(slot, body);
+        let is_lost = number.is_none()
+            && self
+                .persistence
+                .as_ref()
+                .is_some_and(|persistence| persistence.has_store() && persistence.reject_on_failure);
+        match is_lost {
+            true => (ResponseStatus::Failed(FailureCause::ExecutionFailed), b"", None),
+            false => (status, body, number),
+        }
+    }
+
+    /// When the response to a request is sent at the latest: at its client's timeout, or before the stop of a drain.
+    pub(super) fn respond_by(&mut self, slot: RequestSlot) -> Time {
+        self.drain_deadline.unwrap_or(Time::MAX).min(self.request(slot).deadline)
+    }
+
+    /// Sends the deferred responses whose time is over, although the store has not persisted their rows: as a failure
+    /// where nothing may be served unrecorded, else unrecorded.
+    pub(super) fn release_overdue_responses(&mut self) {
+        let Some(persistence) = self.persistence.as_mut() else { return };
+        let overdue = persistence.take_overdue(self.now);
+        if overdue.is_empty() {
+            return;
+        }
+        persistence.set_failing(Some("the disk does not answer in time"));
+        let rejects_on_failure = persistence.reject_on_failure;
+        for mut response in overdue {
+            if rejects_on_failure && response.status == ResponseStatus::Succeeded {
+                response.status = ResponseStatus::Failed(FailureCause::ExecutionFailed);
+            }
+            add(&self.counters.unrecorded);
+            self.write_deferred_response(response);
+        }
+    }
+
+    /// Sets the time by which all responses must be sent in a drain.
+    pub(super) fn set_drain_deadline(&mut self, deadline: Time) {
+        self.drain_deadline = Some(deadline);
+        if let Some(persistence) = self.persistence.as_mut() {
+            persistence.respond_all_by(deadline);
+        }
+    }
+
     /// Defers a response until a batch is finished, where responses wait for the commit. Returns false where they don't.
     pub(super) fn respond_after_commit(
         &mut self,
@@ -81,7 +129,8 @@
         saved_body.push(body);
         let OpenRequest { request_id, fingerprint, .. } = *self.request(slot);
         let (peer, body) = (peer.clone(), saved_body);
-        let response = DeferredResponse { request_id, fingerprint, peer, stream, status, body };
+        let respond_by = self.respond_by(slot);
+        let response = DeferredResponse { request_id, fingerprint, peer, stream, status, body, respond_by };
         if let Some(persistence) = self.persistence.as_mut() {
             // Followers wait for the same batch, which is the last one sent.
             persistence.defer(number, DeferredAction::Respond(response));
@@ -91,7 +140,7 @@
 
     /// Writes a response that waited for its billing row.
     fn write_deferred_response(&mut self, response: DeferredResponse) {
-        let DeferredResponse { request_id, fingerprint, peer, stream, status, body } = response;
+        let DeferredResponse { request_id, fingerprint, peer, stream, status, body, .. } = response;
         peer.queued_requests.set(peer.queued_requests.get().saturating_sub(1));
         self.pending_responses -= 1;
         self.write_response(request_id, fingerprint, peer.clone(), stream, status, &body);
--- a/crates/server/src/core/persistence.rs
+++ b/crates/server/src/core/persistence.rs
@@ -4,6 +4,8 @@
 //! (open request).
 
 use super::incoming::{Peer, RequestId, ResponseStatus};
+use crate::clock::MS;
+use crate::log;
 use crate::pool::Buf;
 use cypresscleat_scheduler::{RequestSlot, Time};
 use cypresscleat_store::disk::Disk;
@@ -16,6 +18,9 @@
 pub struct WriteBatch {
     pub number: u64,
     pub writes: Vec<(Vec<u8>, Option<Vec<u8>>)>,
+    /// When the batch and all before it must be committed at the latest, in the time of the core's clock: a response
+    /// waits for them. `None` where none does.
+    pub commit_by: Option<Time>,
 }
 
 /// Maximum size of all results in memory, in bytes. A request beyond it is known to have run, but its result is not
@@ -118,6 +123,8 @@
     pub stream: u32,
     pub status: ResponseStatus,
     pub body: Buf,
+    /// When the response is sent at the latest, whether or not the row is persisted by then.
+    pub respond_by: Time,
 }
 
 /// An action that waits until a batch is persisted.
@@ -138,6 +145,9 @@
     pub completed_at: Time,
 }
 
+/// Time that a commit may take: one is requested so long before a response that waits for it must be sent.
+const COMMIT_RESERVE: Time = 50 * MS;
+
 /// Idempotency keys, deferred actions, and the queue to the store.
 pub struct Persistence {
     /// Without a store, idempotency keys are known only while the process lives.
@@ -156,6 +166,12 @@
     result_bytes: usize,
     /// All batches up to this number are finished.
     acknowledged_through: u64,
+    /// No deferred response must be sent before this time.
+    next_respond_by: Time,
+    /// The earliest commit requested for the batches that are not finished.
+    commit_by: Time,
+    /// The store's queue was full when this commit was requested.
+    unsent_commit_by: Option<Time>,
     /// Maximum time between the arrival of a retry and its reading.
     pub max_unread_time: Time,
 }
@@ -175,6 +191,9 @@
             followers: Vec::new(),
             result_bytes: 0,
             acknowledged_through: 0,
+            next_respond_by: Time::MAX,
+            commit_by: Time::MAX,
+            unsent_commit_by: None,
             max_unread_time: 0,
         }
     }
@@ -210,29 +229,70 @@
 
     /// Sends a batch to the store and returns its number; `None` without a store, or where its queue is full.
     fn send(&mut self, writes: Vec<(Vec<u8>, Option<Vec<u8>>)>) -> Option<u64> {
+        self.send_to_commit_by(writes, None)
+    }
+
+    fn send_to_commit_by(
+        &mut self,
+        writes: Vec<(Vec<u8>, Option<Vec<u8>>)>,
+        commit_by: Option<Time>,
+    ) -> Option<u64> {
         let number = self.last_batch + 1;
-        self.sender.as_ref()?.try_send(WriteBatch { number, writes }).ok()?;
+        if self.sender.as_ref()?.try_send(WriteBatch { number, writes, commit_by }).is_err() {
+            self.set_failing(Some("its queue is full"));
+            return None;
+        }
         self.last_batch = number;
+        self.commit_by = self.commit_by.min(commit_by.unwrap_or(Time::MAX));
         Some(number)
     }
 
+    /// Requests that all batches sent so far are committed in time for a response that is sent at `respond_by`, unless
+    /// an earlier commit of them was requested.
+    fn request_commit(&mut self, respond_by: Time) {
+        let commit_by = respond_by - COMMIT_RESERVE;
+        if self.last_batch <= self.acknowledged_through || commit_by >= self.commit_by {
+            return;
+        }
+        let is_sent = self.send_to_commit_by(Vec::new(), Some(commit_by)).is_some();
+        self.unsent_commit_by = (!is_sent).then_some(commit_by);
+    }
+
+    /// Records whether the store can persist, and logs a change of it.
+    pub fn set_failing(&mut self, failure: Option<&str>) {
+        if std::mem::replace(&mut self.is_failing, failure.is_some()) == failure.is_some() {
+            return;
+        }
+        match failure {
+            Some(what) if self.reject_on_failure => log!("store: {what}; nothing is taken"),
+            Some(what) => log!("store: {what}; served unrecorded"),
+            None => log!("store: it keeps again"),
+        }
+    }
+
     /// Marks all batches up to this number as finished; returns the actions that waited for them.
     pub fn acknowledge(&mut self, acknowledged_through: u64) -> Vec<DeferredAction> {
         let mut actions = Vec::new();
         self.acknowledged_through = acknowledged_through;
+        if acknowledged_through >= self.last_batch {
+            (self.commit_by, self.unsent_commit_by) = (Time::MAX, None);
+        } else if let Some(commit_by) = self.unsent_commit_by.take() {
+            self.request_commit(commit_by + COMMIT_RESERVE);
+        }
         while self.deferred.front().is_some_and(|(number, _)| *number <= acknowledged_through) {
             actions.extend(self.deferred.pop_front().map(|(_, action)| action));
         }
         actions
     }
 
-    /// Records the billing row of a success, and its result where it has a key. Returns the number of the batch, where
-    /// the store took it.
+    /// Records the billing row of a success, and its result where it has a key. The response waits for the commit until
+    /// `respond_by`. Returns the number of the batch, where the store took it.
     pub fn record_billing(
         &mut self,
         row: &BillingRow,
         idempotency_key: Option<&str>,
         result: &[u8],
+        respond_by: Time,
     ) -> Option<u64> {
         let ms = |time: Time| time / 10;
         let key = format!("b/{:016}/{}", ms(row.completed_at), String::from_utf8_lossy(row.request_id));
@@ -246,7 +306,8 @@
         );
         let mut writes = vec![(key.into_bytes(), Some(value.into_bytes()))];
         writes.extend(idempotency_key.and_then(|name| self.set_result(name, result)));
-        self.send(writes)
+        let commit_by = self.respond_after_commit.then_some(respond_by - COMMIT_RESERVE);
+        self.send_to_commit_by(writes, commit_by)
     }
 
     /// Records the result of a request with a key whose client has left: a retry may still arrive.
@@ -274,9 +335,54 @@
     /// Defers an action until batch `number` is finished: the last batch sent, or an earlier one.
     pub fn defer(&mut self, number: u64, action: DeferredAction) {
         debug_assert!(self.deferred.back().is_none_or(|(earlier, _)| *earlier <= number));
+        if let DeferredAction::Respond(response) = &action {
+            self.next_respond_by = self.next_respond_by.min(response.respond_by);
+            self.request_commit(response.respond_by);
+        }
         self.deferred.push_back((number, action));
     }
 
+    /// No deferred response must be sent before this time.
+    pub fn next_respond_by(&self) -> Time {
+        self.next_respond_by
+    }
+
+    /// Removes the deferred responses that must be sent now, although their batches are not finished.
+    pub fn take_overdue(&mut self, now: Time) -> Vec<DeferredResponse> {
+        let mut overdue = Vec::new();
+        if now < self.next_respond_by {
+            return overdue;
+        }
+        self.next_respond_by = Time::MAX;
+        for (number, action) in std::mem::take(&mut self.deferred) {
+            match action {
+                DeferredAction::Respond(response) if response.respond_by <= now => overdue.push(response),
+                action => {
+                    if let DeferredAction::Respond(response) = &action {
+                        self.next_respond_by = self.next_respond_by.min(response.respond_by);
+                    }
+                    self.deferred.push_back((number, action));
+                }
+            }
+        }
+        overdue
+    }
+
+    /// Limits the wait of all deferred responses: the process is stopped soon after.
+    pub fn respond_all_by(&mut self, respond_by: Time) {
+        let mut is_waiting = false;
+        for (_, action) in &mut self.deferred {
+            if let DeferredAction::Respond(response) = action {
+                response.respond_by = response.respond_by.min(respond_by);
+                is_waiting = true;
+            }
+        }
+        if is_waiting {
+            self.next_respond_by = self.next_respond_by.min(respond_by);
+            self.request_commit(respond_by);
+        }
+    }
+
     /// The response to a request that waits for its batch.
     pub fn deferred_response(&mut self, request_id: &RequestId) -> Option<&mut DeferredResponse> {
         self.deferred.iter_mut().find_map(|(_, action)| match action {
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -275,6 +275,7 @@
 ) -> io::Result<()> {
     let mut usr1 = signal(SignalKind::user_defined1()).map_err(add_context("signals"))?;
     let (queue, events) = channel(QUEUE_CAPACITY);
+    let clock = Clock::start();
     // The store is loaded before the first request can be accepted.
     let (mut store, mut persistence) = (None, None);
     if let Some(config) = &operator.store {
@@ -283,6 +284,7 @@
             config.durability,
             config.segment_bytes,
             config.hour_length_ms,
+            clock,
             queue.clone(),
         )
         .map_err(|what| io::Error::other(format!("store: {what}")))?;
@@ -301,7 +303,6 @@
     log!("{} listens on {}", config.name, listener.local_addr()?);
     let buffers = (config.memory_mb << 20) as usize / BUFFER_MEMORY_DIVISOR as usize / pool::BUFFER_BYTES;
     let shared = Shared { readiness: Readiness::new(started), ..Shared::new(buffers) };
-    let clock = Clock::start();
     let max_calls = config.sockets / CALL_DESCRIPTORS_DIVISOR;
     let names = Rc::new(config.names.clone());
     let scgi_connections = operator.scgi.as_ref().map_or(0, |scgi| scgi.connections);
--- a/crates/server/src/store_thread.rs
+++ b/crates/server/src/store_thread.rs
@@ -2,10 +2,12 @@
 //! through a bounded queue; [`CoreEvent::Persisted`] reports what was persisted. The meaning of the rows is defined in
 //! `core/persistence.rs`.
 
+use crate::clock::{self, Clock};
 use crate::core::persistence::{RecoveredState, WriteBatch};
 use crate::core::CoreEvent;
 use crate::hourly_usage::HourlyUsage;
-use crate::{clock, log};
+use crate::log;
+use cypresscleat_scheduler::Time;
 use cypresscleat_store::disk::DiskDirectory;
 use cypresscleat_store::{Store, StoreOptions};
 use std::path::{Path, PathBuf};
@@ -31,19 +33,21 @@
 pub enum Durability {
     /// After a sync for this write alone.
     Each,
-    /// After a sync shared with the writes that arrive within this time.
+    /// After a sync shared with the writes that arrive within this time, or earlier where a response that waits for it
+    /// must be sent.
     Group(Duration),
     /// Once handed to the operating system: the write survives the process, but not a crash of the machine.
     None,
 }
 
 /// Opens the store, loads the state that the core needs, and starts the store's thread. Runs before the server accepts requests.
-/// `hour_ms` is the length of an hour of [`HourlyUsage`]; `None` disables the totals.
+/// `hour_ms` is the length of an hour of [`HourlyUsage`]; `None` disables the totals. `clock` is the core's.
 pub fn start(
     folder: &Path,
     durability: Durability,
     segment_bytes: u64,
     hour_ms: Option<u64>,
+    clock: Clock,
     events: Sender<CoreEvent>,
 ) -> Result<(SyncSender<WriteBatch>, RecoveredState, JoinHandle<()>), String> {
     let options = StoreOptions { max_segment_bytes: segment_bytes, ..StoreOptions::default() };
@@ -81,7 +85,7 @@
         }
     });
     let thread = std::thread::Builder::new().name("store".into());
-    let spawned = thread.spawn(move || run(store, durability, usage, &batches, &result_sender));
+    let spawned = thread.spawn(move || run(store, (durability, clock), usage, &batches, &result_sender));
     Ok((batch_sender, recovered, spawned.map_err(|error| error.to_string())?))
 }
 
@@ -144,7 +148,7 @@
 /// Commits batches until their sender is dropped. While idle it closes hours and compacts.
 fn run(
     mut store: Store<DiskDirectory>,
-    durability: Durability,
+    (durability, clock): (Durability, Clock),
     mut usage: Option<UsageExport>,
     batches: &Receiver<WriteBatch>,
     results: &Sender<CommitResult>,
@@ -174,14 +178,17 @@
             Err(RecvTimeoutError::Disconnected) => break,
         };
         let group_deadline = match durability {
-            Durability::Group(within) => Some(Instant::now() + within),
+            Durability::Group(within) => Some(clock.now() + (within.as_micros() / 100) as Time),
             _ => None,
         };
+        let mut commit_by = first.commit_by.unwrap_or(Time::MAX);
         let (mut done_through, mut failure) = (first.number, write(&mut store, &mut usage, first).err());
         if let Some(group_deadline) = group_deadline {
             for _ in 1..MAX_BATCHES_PER_COMMIT {
-                let remaining = group_deadline.saturating_duration_since(Instant::now());
+                let remaining = (group_deadline.min(commit_by) - clock.now()).max(0);
+                let remaining = Duration::from_micros(remaining as u64 * 100);
                 let Ok(batch) = batches.recv_timeout(remaining) else { break };
+                commit_by = commit_by.min(batch.commit_by.unwrap_or(Time::MAX));
                 done_through = batch.number;
                 failure = write(&mut store, &mut usage, batch).err().or(failure);
             }
--- a/crates/server/tests/core.rs
+++ b/crates/server/tests/core.rs
@@ -3,6 +3,8 @@
 
 #[path = "core_cases/broken_links.rs"]
 mod broken_links;
+#[path = "core_cases/commits.rs"]
+mod commits;
 #[path = "core_cases/drain_rows.rs"]
 mod drain_rows;
 #[path = "core_cases/gates.rs"]
--- a/crates/server/tests/core_cases/gates.rs
+++ b/crates/server/tests/core_cases/gates.rs
@@ -1,7 +1,7 @@
 //! A rejection promises that a request has not run. Each gate that rejects by itself, before the scheduler decides, is shut while a
 //! retry arrives whose earlier attempt was admitted: the retry gets what became of that attempt. New work is rejected or held.
 
-use super::scenario::{Scenario, StoreMode};
+use super::scenario::{Scenario, StoreMode, StoreSetup};
 use cypresscleat_server::core::persistence::{IdempotencyRecord, KeyState, RecoveredState};
 
 /// What shuts a gate; played before the retry comes.
@@ -219,7 +219,8 @@
         let record = IdempotencyRecord { fingerprint, expires_at, state };
         let recovered = RecoveredState { records: vec![("k".to_string(), record)], interrupted: Vec::new() };
         let settings = [r#"/settings/categories/1/effect "dedup""#];
-        let mut scenario = Scenario::start_recovered(&settings, StoreMode::RespondAfterCommit, recovered);
+        let setup = StoreSetup { recovered, ..StoreSetup::new(StoreMode::RespondAfterCommit) };
+        let mut scenario = Scenario::start_with_setup(&settings, setup);
         scenario.run_line("10 b sends 1 1 unique=k");
         scenario.run_line(expected);
         scenario.run_line("owed 0");
--- a/crates/server/tests/core_cases/scenario.rs
+++ b/crates/server/tests/core_cases/scenario.rs
@@ -13,6 +13,7 @@
 //!   TIME term MS                      termination notice
 //!   TIME policy admits|holds|denies [silently]   the gate of the fleet's policy changes, and the core is notified or not yet
 //!   TIME store fails|recovers         the store reports that it can't persist, or that it can again
+//!   TIME store commits                all writes so far are committed, also while commits are held
 //!   TIME pass                         only time passes; due ticks run before every event
 //!   expect WORDS | refuse WORDS       some | no output since the last event begins with these words
 //!   owed N                            number of pending responses
@@ -50,6 +51,24 @@
     RespondAfterCommit,
 }
 
+/// How a store behaves, and what it begins with.
+pub struct StoreSetup {
+    pub mode: StoreMode,
+    /// Nothing is served unrecorded.
+    pub rejects_on_failure: bool,
+    /// Writes that may wait.
+    pub queue: usize,
+    /// What the process before has left.
+    pub recovered: RecoveredState,
+}
+
+impl StoreSetup {
+    pub fn new(mode: StoreMode) -> StoreSetup {
+        let recovered = RecoveredState::default();
+        StoreSetup { mode, rejects_on_failure: true, queue: STORE_QUEUE, recovered }
+    }
+}
+
 /// A core without sockets and without a real clock, driven by lines of the scenarios' notation.
 pub struct Scenario {
     pub core: Core,
@@ -64,8 +83,14 @@
     pub holds_kernel_output: bool,
     /// The store can't persist what it gets while this is set.
     pub fails_commits: bool,
+    /// Batches that the store has taken from its queue and not committed.
+    waiting: Vec<WriteBatch>,
     /// Number of the last batch that was answered.
     committed_through: u64,
+    /// The store's thread is stuck in a commit: its queue is not read while this is set.
+    pub leaves_queue: bool,
+    /// The earliest commit that was requested for the writes which are not committed.
+    pub commit_by: Option<Time>,
     /// Keys of all rows in the store.
     pub rows: BTreeSet<String>,
     /// The store is slow: no write is committed until this is unset.
@@ -112,11 +137,10 @@
     }
 
     pub fn start_with_store(changes: &[&str], mode: StoreMode) -> Scenario {
-        Scenario::start_recovered(changes, mode, RecoveredState::default())
+        Scenario::start_with_setup(changes, StoreSetup::new(mode))
     }
 
-    /// Starts on the state that the process before has left in the store.
-    pub fn start_recovered(changes: &[&str], mode: StoreMode, recovered: RecoveredState) -> Scenario {
+    pub fn start_with_setup(changes: &[&str], setup: StoreSetup) -> Scenario {
         let mut json_config: serde_json::Value =
             serde_json::from_str(include_str!("../../../demo/config.json"))
                 .expect("the example configuration");
@@ -128,10 +152,11 @@
         let shared = Shared::new(1000);
         let names = Rc::new(config.names);
         let mut core = Core::new(config.settings, names.clone(), &shared);
-        let store = (mode != StoreMode::None).then(|| {
-            let (sender, receiver) = sync_channel(STORE_QUEUE);
-            let responds_after = mode == StoreMode::RespondAfterCommit;
-            core.set_persistence(Persistence::new(sender, responds_after, true, recovered).0);
+        let store = (setup.mode != StoreMode::None).then(|| {
+            let (sender, receiver) = sync_channel(setup.queue);
+            let responds_after = setup.mode == StoreMode::RespondAfterCommit;
+            let rejects = setup.rejects_on_failure;
+            core.set_persistence(Persistence::new(sender, responds_after, rejects, setup.recovered).0);
             receiver
         });
         let kernel = Rc::new(Outbox::new(&shared.pool));
@@ -148,6 +173,9 @@
             holds_commits: false,
             fails_commits: false,
             committed_through: 0,
+            commit_by: None,
+            leaves_queue: false,
+            waiting: Vec::new(),
             rows: BTreeSet::new(),
             holds_kernel_output: false,
             outputs,
@@ -214,6 +242,10 @@
                 self.fails_commits = false;
                 self.report_store(None);
             }
+            ["store", "commits"] => {
+                self.take_batches();
+                self.commit_waiting();
+            }
             ["term", ms] => {
                 let within = ms.parse::<Time>().expect("milliseconds") * 10;
                 self.handle_event(CoreEvent::Drain { within });
@@ -274,22 +306,37 @@
 
     /// Commits all writes, or fails to; either may bring about further ones.
     fn commit_writes(&mut self) {
-        while let Some(store) = self.store.as_ref().filter(|_| !self.holds_commits) {
-            let batches: Vec<WriteBatch> = store.try_iter().collect();
-            let Some(acknowledged_through) = batches.last().map(|batch| batch.number) else { return };
-            self.committed_through = acknowledged_through;
-            for (key, value) in batches.into_iter().flat_map(|batch| batch.writes) {
-                let key = String::from_utf8_lossy(&key).into_owned();
-                match value {
-                    Some(_) => self.rows.insert(key),
-                    None => self.rows.remove(&key),
-                };
-            }
-            let failure = self.fails_commits.then(|| "the disk is full".to_string());
-            self.handle_event(CoreEvent::Persisted { acknowledged_through, failure });
+        self.take_batches();
+        while !self.holds_commits && !self.waiting.is_empty() {
+            self.commit_waiting();
+            self.take_batches();
         }
     }
 
+    /// Takes the batches from the queue, as the store's thread does while it waits for a commit.
+    fn take_batches(&mut self) {
+        if !self.leaves_queue {
+            self.waiting.extend(self.store.iter().flat_map(|store| store.try_iter()));
+        }
+        self.commit_by = self.waiting.iter().filter_map(|batch| batch.commit_by).min();
+    }
+
+    /// Commits the batches that were taken. Where that fails, none of their writes is kept.
+    fn commit_waiting(&mut self) {
+        let Some(acknowledged_through) = self.waiting.last().map(|batch| batch.number) else { return };
+        self.committed_through = acknowledged_through;
+        for (key, value) in std::mem::take(&mut self.waiting).into_iter().flat_map(|batch| batch.writes) {
+            let key = String::from_utf8_lossy(&key).into_owned();
+            match value {
+                _ if self.fails_commits => false,
+                Some(_) => self.rows.insert(key),
+                None => self.rows.remove(&key),
+            };
+        }
+        let failure = self.fails_commits.then(|| "the disk is full".to_string());
+        self.handle_event(CoreEvent::Persisted { acknowledged_through, failure });
+    }
+
     /// The store reports that it can persist again.
     pub fn recover_store(&mut self) {
         self.report_store(None);
--- a/crates/server/tests/owners.rs
+++ b/crates/server/tests/owners.rs
@@ -447,13 +447,15 @@
                 durability,
                 1 << 16,
                 Some(200),
+                cypresscleat_server::clock::Clock::start(),
                 events_sender,
             );
             let (to, _, thread) = started.expect("a store");
             for number in 1..=60 {
                 let writes = vec![row(incarnation * 100 + number)];
-                to.send(cypresscleat_server::core::persistence::WriteBatch { number, writes })
-                    .expect("channel capacity");
+                let batch =
+                    cypresscleat_server::core::persistence::WriteBatch { number, writes, commit_by: None };
+                to.send(batch).expect("channel capacity");
                 tokio::time::sleep(ms(12)).await;
                 if number == 30 && incarnation == 0 {
                     owners[0].kill();
--- a/crates/server/tests/store.rs
+++ b/crates/server/tests/store.rs
@@ -3,13 +3,15 @@
 
 use cypresscleat_demo::{scgi_request, Deployment, Gateway, Kernel};
 use cypresscleat_scheduler::RetrySafety;
+use cypresscleat_server::clock::{Clock, MS};
 use cypresscleat_server::config;
 use cypresscleat_server::core::incoming::{IncomingRequest, Peer};
-use cypresscleat_server::core::persistence::{Persistence, RecoveredState};
+use cypresscleat_server::core::persistence::{Persistence, RecoveredState, WriteBatch};
 use cypresscleat_server::core::{Core, CoreEvent, Shared};
 use cypresscleat_server::lines;
 use cypresscleat_server::listeners::frames::FrameWriter;
 use cypresscleat_server::pool::Outbox;
+use cypresscleat_server::store_thread::{self, Durability};
 use cypresscleat_store::disk::DiskDirectory;
 use cypresscleat_store::{Store, StoreOptions};
 use serde_json::json;
@@ -417,3 +419,43 @@
         }
     }
 }
+
+/// Guards against responses that wait for the whole time of a group commit, past the time at which they must be sent: a batch that names
+/// an earlier time is committed by then, also where it only brings forward the commit of those before it.
+#[test]
+fn a_group_is_committed_by_the_time_that_a_batch_names() {
+    let (group_time, needed_after) = (Duration::from_secs(20), 100 * MS);
+    for brings_forward in [false, true] {
+        let folder = folder(if brings_forward { "forward" } else { "by" });
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let elapsed = tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (events_sender, mut events) = tokio::sync::mpsc::channel(16);
+            let clock = Clock::start();
+            let durability = Durability::Group(group_time);
+            let started = store_thread::start(&folder, durability, 1 << 20, None, clock, events_sender);
+            let (batches, _, thread) = started.expect("a store");
+            let begin = clock.now();
+            let commit_by = Some(begin + needed_after);
+            let writes = vec![(b"b/1".to_vec(), Some(b"row".to_vec()))];
+            let first = WriteBatch { number: 1, writes, commit_by: commit_by.filter(|_| !brings_forward) };
+            batches.send(first).expect("capacity");
+            if brings_forward {
+                batches.send(WriteBatch { number: 2, writes: Vec::new(), commit_by }).expect("capacity");
+            }
+            let last = 1 + u64::from(brings_forward);
+            match events.recv().await {
+                Some(CoreEvent::Persisted { acknowledged_through, failure: None }) => {
+                    assert_eq!(acknowledged_through, last)
+                }
+                _ => panic!("no commit"),
+            }
+            let elapsed = clock.now() - begin;
+            drop(batches);
+            store_thread::join(Some(thread)).await;
+            elapsed
+        });
+        // Half of the group's time is generous for a disk that stands still.
+        assert!(elapsed >= needed_after && elapsed < 10_000 * MS, "committed after {} ms", elapsed / MS);
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+}
--- a/crates/server/tests/store_golden.rs
+++ b/crates/server/tests/store_golden.rs
@@ -40,10 +40,10 @@
     let (arrived_at, completed_at) = (17_000_000_000_000, 17_000_000_000_420);
     let (request_id, tenant) = (b"00000000000000a1", "acme");
     let row = BillingRow { request_id, class: "put", tenant, billed: 2.5, arrived_at, completed_at };
-    persistence.record_billing(&row, Some("order-17"), b"done");
+    persistence.record_billing(&row, Some("order-17"), b"done", completed_at);
     let (request_id, tenant, completed_at) = (b"00000000000000a2", "", 17_000_050_000_000);
     let row = BillingRow { request_id, class: "report", tenant, billed: 0.125, arrived_at, completed_at };
-    persistence.record_billing(&row, None, b"");
+    persistence.record_billing(&row, None, b"", completed_at);
     let cut_off = [
         (*b"00000000000000a3", "put,acme,1700000000000".to_string()),
         (*b"00000000000000a4", "report,,1700000000001".to_string()),
