A key that comes with a class without idempotency keys is ignored

What callers saw: nothing on record. A request of a class that may run again, with unique in its frame, wrote its result under that key, and a retry of the keyed request that had the key got the other's result.

Cause: only the look-up asked whether the class knows keys; the open request kept the field, and record_billing, record_result, record_start and release_key took it for a key of its own.

Evidence: found by reading the callers of set_result; then by the tests.

Change: an open request has a key only where its class knows keys; a run waits for the record of its start only where there is an entry. Read for the same: retain_for_retries (its key is the open request's), find_repeated and the full table (asked by class before), SCGI (routes of other classes take no key), forwarders (the worker reads the frame by the same rule).

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -876,7 +876,8 @@
         let (request_id, idempotency_key) = (request.request_id, request.idempotency_key.clone());
         // A request with an idempotency key runs once its start is on record.
         if let (Some(idempotency_key), Some(persistence)) = (idempotency_key, self.persistence.as_mut()) {
-            if persistence.has_store() {
+            // Without a retry window there is no entry, and nothing to put on record.
+            if persistence.has_store() && persistence.record(&idempotency_key).is_some() {
                 match persistence.record_start(&idempotency_key) {
                     Some(number) => persistence.defer(number, DeferredAction::Run(slot, request_id)),
                     None => self.unrecorded_starts.push((slot, request_id)),
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -298,7 +298,8 @@
             call_failed: false,
             tenant: request.tenant,
             arrived_at: request.arrived_at,
-            idempotency_key: request.idempotency_key,
+            // A key that comes with a class which knows none must not stand for another request's entry.
+            idempotency_key: request.idempotency_key.filter(|_| requires_key),
             is_starting: false,
             has_run: false,
             is_frame_payload: request.is_frame_payload,
--- a/crates/server/tests/core_cases/keyed_requests.rs
+++ b/crates/server/tests/core_cases/keyed_requests.rs
@@ -68,3 +68,40 @@
         }
     }
 }
+
+/// Guards against another request's result, and against a run that is held back for a record that it does not need: a request of a class
+/// without idempotency keys carries one that a keyed request has.
+#[test]
+fn a_key_on_a_class_without_keys_is_ignored() {
+    let reap = |ms: u32, txn: u32, blob: &str| {
+        let end = r#""how":"OK","duration":5"#;
+        format!(r#"{ms} kernel {{"msg":"REAP","serial":{txn},"call":"{txn:0>16}",{end},"blob":"{blob}"}}"#)
+    };
+    for store in [StoreMode::None, StoreMode::RespondBeforeCommit, StoreMode::RespondAfterCommit] {
+        println!("{store:?}");
+        let mut scenario = start_keyed(store);
+        scenario.run_line("10 a sends 1 1 unique=k");
+        scenario.run_line(&reap(20, 1, "cmVzdWx0"));
+        scenario.run_line("expect a 1 succeeded result");
+        scenario.run_line("30 a sends 2 2 verb=report unique=k");
+        scenario.run_line("expect kernel SCHED 2 ask");
+        scenario.run_line(&reap(40, 2, "b3RoZXI="));
+        scenario.run_line("expect a 2 succeeded other");
+        scenario.run_line("50 b sends 1 3 unique=k");
+        scenario.run_line("expect b 1 succeeded result");
+    }
+}
+
+/// Guards a keyed class without a retry window: its requests have no entry, and run.
+#[test]
+fn a_keyed_request_without_a_retry_window_runs() {
+    for store in [StoreMode::None, StoreMode::RespondAfterCommit] {
+        let settings =
+            [r#"/settings/categories/1/effect "dedup""#, "/settings/categories/1/memory_span_ns 0"];
+        let mut scenario = Scenario::start_with_store(&settings, store);
+        scenario.run_line(r#"0 kernel {"msg":"BOOTED","how":"WARM","duration":60000}"#);
+        scenario.run_line("0 link");
+        scenario.run_line("10 a sends 1 1 unique=k");
+        scenario.run_line("expect kernel SCHED 1 ask");
+    }
+}
