A success that only a later retry gets has its billing row, once

Cause: a run that succeeds for nobody leaves its result without a row, and the record did not say so; a retry from a stored result was taken for one whose request has been billed.

The first retry that is served one without writes row and record in one batch and waits for it; where the batch fails or is not taken, the record says again that the row is missing. The bytes of results that are set twice are no longer counted twice against the 4 MiB.

Related paths: retries that wait for a run that ends (handed over, billed as the run), followers of an answered first (its row), a result past the 4 MiB in memory (a retry fails, as before), a retry before the executor is up (by the same function), without a store (no rows), answer before and after.

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -16,7 +16,7 @@
 use cypresscleat_settings::{set_gauge, Names};
 use executor_link::{Executor, ReplyDelivery, RunState};
 use incoming::{Dispatcher, FailureCause, Peer, RequestError, RequestId, ResponseStatus};
-use persistence::{BillingRow, DeferredAction, IdempotencyRecord, KeyState, Persistence};
+use persistence::{BillingRow, CompletedRun, DeferredAction, IdempotencyRecord, KeyState, Persistence};
 use resends::SentResponse;
 use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -811,7 +811,19 @@
         }
     }
 
-    /// Answers a retry with a known result: nothing runs, nothing is billed.
+    /// Answers a retry with the result of a run that has ended. The first client that gets the success is billed for it.
+    fn replay_success(&mut self, slot: RequestSlot, run: &CompletedRun) {
+        let (status, body) = match run.is_billed {
+            true => (ResponseStatus::Succeeded, &run.result[..]),
+            false => {
+                let (status, body, _) = self.record_success(slot, ResponseStatus::Succeeded, &run.result);
+                (status, body)
+            }
+        };
+        self.replay_response(slot, status, body);
+    }
+
+    /// Answers a retry with a known result: nothing runs.
     fn replay_response(&mut self, slot: RequestSlot, status: ResponseStatus, body: &[u8]) {
         let Some((peer, stream)) = self.detach_client(slot) else { return };
         add(&self.counters.repeated);
@@ -940,9 +952,7 @@
             .and_then(|persistence| persistence.record(&idempotency_key))
             .map(|record| record.state.clone());
         match state {
-            Some(KeyState::Completed(result)) => {
-                self.replay_response(slot, ResponseStatus::Succeeded, &result)
-            }
+            Some(KeyState::Completed(run)) => self.replay_success(slot, &run),
             // The request ran or started to, and its outcome is unknown: it must neither run again nor count as
             // succeeded.
             Some(KeyState::Started) | None => {
--- a/crates/server/src/core/commits.rs
+++ b/crates/server/src/core/commits.rs
@@ -12,7 +12,7 @@
     /// Handles finished batches of the store: deferred responses are sent, and requests with an idempotency key run.
     pub(super) fn handle_persisted(&mut self, acknowledged_through: u64, failure: Option<String>) {
         let Some(persistence) = self.host.persistence.as_mut() else { return };
-        let actions = persistence.acknowledge(acknowledged_through);
+        let actions = persistence.acknowledge(acknowledged_through, failure.is_some());
         let rejects_on_failure = persistence.reject_on_failure;
         persistence.set_failing(failure.as_deref());
         for action in actions {
--- a/crates/server/src/core/persistence.rs
+++ b/crates/server/src/core/persistence.rs
@@ -36,9 +36,22 @@
     Open(RequestSlot),
     /// The run has started, and its outcome is not known: it may have had its effect.
     Started,
-    Completed(Vec<u8>),
+    Completed(CompletedRun),
 }
 
+/// A run that has succeeded.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CompletedRun {
+    pub result: Vec<u8>,
+    /// A billing row stands for this success. There is none while no client has got it.
+    pub is_billed: bool,
+}
+
+/// Tags of a stored record: the run has started, has succeeded and is billed, has succeeded and is not billed.
+const STARTED_TAG: u8 = 0;
+const BILLED_TAG: u8 = 1;
+const UNBILLED_TAG: u8 = 2;
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct IdempotencyRecord {
     /// Fingerprint of the request, to tell it from another under the same key.
@@ -52,23 +65,31 @@
     fn encode(&self) -> Vec<u8> {
         let mut out = self.fingerprint.to_le_bytes().to_vec();
         out.extend(self.expires_at.to_le_bytes());
-        if let KeyState::Completed(result) = &self.state {
-            out.push(1);
-            out.extend(result);
-        } else {
-            out.push(0);
+        match &self.state {
+            KeyState::Completed(run) => {
+                out.push(if run.is_billed { BILLED_TAG } else { UNBILLED_TAG });
+                out.extend(&run.result);
+            }
+            KeyState::Open(_) | KeyState::Started => out.push(STARTED_TAG),
         }
         out
     }
 
-    fn decode(bytes: &[u8]) -> Option<IdempotencyRecord> {
+    /// Reads a stored record; `None` where it can't be one.
+    pub fn decode(bytes: &[u8]) -> Option<IdempotencyRecord> {
         let (fingerprint, rest) = bytes.split_at_checked(8)?;
         let (expires_at, rest) = rest.split_at_checked(8)?;
         let (tag, result) = rest.split_first()?;
         Some(IdempotencyRecord {
             fingerprint: u64::from_le_bytes(fingerprint.try_into().ok()?),
             expires_at: Time::from_le_bytes(expires_at.try_into().ok()?),
-            state: if *tag == 1 { KeyState::Completed(result.to_vec()) } else { KeyState::Started },
+            state: match *tag {
+                BILLED_TAG => KeyState::Completed(CompletedRun { result: result.to_vec(), is_billed: true }),
+                UNBILLED_TAG => {
+                    KeyState::Completed(CompletedRun { result: result.to_vec(), is_billed: false })
+                }
+                _ => KeyState::Started,
+            },
         })
     }
 }
@@ -154,6 +175,8 @@
     sender: Option<SyncSender<WriteBatch>>,
     last_batch: u64,
     deferred: VecDeque<(u64, DeferredAction)>,
+    /// Idempotency keys whose billing row is in a batch that is not finished.
+    uncommitted_rows: VecDeque<(u64, String)>,
     /// Responses are sent after the commit of their billing row, else before it.
     pub respond_after_commit: bool,
     /// While the store fails, requests that could not be recorded are not served.
@@ -183,6 +206,7 @@
             sender: None,
             last_batch: 0,
             deferred: VecDeque::new(),
+            uncommitted_rows: VecDeque::new(),
             respond_after_commit: false,
             reject_on_failure: false,
             is_failing: false,
@@ -270,9 +294,16 @@
         }
     }
 
-    /// Marks all batches up to this number as finished; returns the actions that waited for them.
-    pub fn acknowledge(&mut self, acknowledged_through: u64) -> Vec<DeferredAction> {
+    /// Marks all batches up to this number as finished, or as failed; returns the actions that waited for them.
+    pub fn acknowledge(&mut self, acknowledged_through: u64, has_failed: bool) -> Vec<DeferredAction> {
         let mut actions = Vec::new();
+        while let Some((_, idempotency_key)) =
+            self.uncommitted_rows.pop_front_if(|(number, _)| *number <= acknowledged_through)
+        {
+            if has_failed {
+                self.mark_unbilled(&idempotency_key);
+            }
+        }
         self.acknowledged_through = acknowledged_through;
         if acknowledged_through >= self.last_batch {
             (self.commit_by, self.unsent_commit_by) = (Time::MAX, None);
@@ -305,22 +336,37 @@
             ms(row.completed_at)
         );
         let mut writes = vec![(key.into_bytes(), Some(value.into_bytes()))];
-        writes.extend(idempotency_key.and_then(|name| self.set_result(name, result)));
+        writes.extend(idempotency_key.and_then(|name| self.set_result(name, result, true)));
         let commit_by = self.respond_after_commit.then_some(respond_by - COMMIT_RESERVE);
-        self.send_to_commit_by(writes, commit_by)
+        let number = self.send_to_commit_by(writes, commit_by);
+        match (idempotency_key, number) {
+            (Some(name), Some(number)) => self.uncommitted_rows.push_back((number, name.to_string())),
+            (Some(name), None) => self.mark_unbilled(name),
+            (None, _) => {}
+        }
+        number
     }
 
     /// Records the result of a request with a key whose client has left: a retry may still arrive.
     pub fn record_result(&mut self, idempotency_key: &str, result: &[u8]) {
-        if let Some(write) = self.set_result(idempotency_key, result) {
+        if let Some(write) = self.set_result(idempotency_key, result, false) {
             self.send(vec![write]);
         }
     }
 
     /// Sets the result of a key. Followers may have it at once; later retries once the request is released.
-    fn set_result(&mut self, idempotency_key: &str, result: &[u8]) -> Option<(Vec<u8>, Option<Vec<u8>>)> {
+    fn set_result(
+        &mut self,
+        idempotency_key: &str,
+        result: &[u8],
+        is_billed: bool,
+    ) -> Option<(Vec<u8>, Option<Vec<u8>>)> {
         let record = self.records.get_mut(idempotency_key)?;
-        let completed = IdempotencyRecord { state: KeyState::Completed(result.to_vec()), ..record.clone() };
+        if let KeyState::Completed(earlier) = &record.state {
+            self.result_bytes -= earlier.result.len();
+        }
+        let run = CompletedRun { result: result.to_vec(), is_billed };
+        let completed = IdempotencyRecord { state: KeyState::Completed(run), ..record.clone() };
         let write =
             self.sender.is_some().then(|| (idempotency_key_row(idempotency_key), Some(completed.encode())));
         if self.result_bytes + result.len() <= MAX_RESULT_BYTES {
@@ -332,6 +378,15 @@
         write
     }
 
+    /// The billing row of a success was not persisted: the next retry that gets its result writes one.
+    fn mark_unbilled(&mut self, idempotency_key: &str) {
+        if let Some(IdempotencyRecord { state: KeyState::Completed(run), .. }) =
+            self.records.get_mut(idempotency_key)
+        {
+            run.is_billed = false;
+        }
+    }
+
     /// Defers an action until batch `number` is finished: the last batch sent, or an earlier one.
     pub fn defer(&mut self, number: u64, action: DeferredAction) {
         debug_assert!(self.deferred.back().is_none_or(|(earlier, _)| *earlier <= number));
@@ -426,8 +481,8 @@
     /// Stores the record of a key, in place of an earlier one.
     pub fn insert_record(&mut self, idempotency_key: String, record: IdempotencyRecord) {
         self.remove_record(&idempotency_key);
-        if let KeyState::Completed(result) = &record.state {
-            self.result_bytes += result.len();
+        if let KeyState::Completed(run) = &record.state {
+            self.result_bytes += run.result.len();
         }
         self.expirations.insert((record.expires_at, idempotency_key.clone()));
         self.records.insert(idempotency_key, record);
@@ -436,8 +491,8 @@
     fn remove_record(&mut self, idempotency_key: &str) {
         if let Some(record) = self.records.remove(idempotency_key) {
             self.expirations.remove(&(record.expires_at, idempotency_key.to_string()));
-            if let KeyState::Completed(result) = record.state {
-                self.result_bytes -= result.len();
+            if let KeyState::Completed(run) = record.state {
+                self.result_bytes -= run.result.len();
             }
         }
     }
--- a/crates/server/tests/core_cases/scenario.rs
+++ b/crates/server/tests/core_cases/scenario.rs
@@ -24,7 +24,7 @@
 use cypresscleat_scheduler::{Outcome, Time};
 use cypresscleat_server::config;
 use cypresscleat_server::core::incoming::{Peer, RequestId};
-use cypresscleat_server::core::persistence::{Persistence, RecoveredState, WriteBatch};
+use cypresscleat_server::core::persistence::{IdempotencyRecord, Persistence, RecoveredState, WriteBatch};
 use cypresscleat_server::core::{Core, CoreEvent, DownstreamCommand, Shared};
 use cypresscleat_server::frames::{self, NextFrame};
 use cypresscleat_server::leases::MonotonicClock;
@@ -91,8 +91,9 @@
     pub leaves_queue: bool,
     /// The earliest commit that was requested for the writes which are not committed.
     pub commit_by: Option<Time>,
-    /// Keys of all rows in the store.
+    /// Keys of all rows in the store, and the values of those that name an idempotency key.
     pub rows: BTreeSet<String>,
+    records: BTreeMap<String, Vec<u8>>,
     /// The store is slow: no write is committed until this is unset.
     pub holds_commits: bool,
     outputs: Vec<String>,
@@ -177,6 +178,7 @@
             leaves_queue: false,
             waiting: Vec::new(),
             rows: BTreeSet::new(),
+            records: BTreeMap::new(),
             holds_kernel_output: false,
             outputs,
             now: 0,
@@ -327,6 +329,9 @@
         self.committed_through = acknowledged_through;
         for (key, value) in std::mem::take(&mut self.waiting).into_iter().flat_map(|batch| batch.writes) {
             let key = String::from_utf8_lossy(&key).into_owned();
+            if let (Some(name), Some(value), false) = (key.strip_prefix("t/"), &value, self.fails_commits) {
+                self.records.insert(name.to_string(), value.clone());
+            }
             match value {
                 _ if self.fails_commits => false,
                 Some(_) => self.rows.insert(key),
@@ -337,6 +342,14 @@
         self.handle_event(CoreEvent::Persisted { acknowledged_through, failure });
     }
 
+    /// What the next start finds in the store.
+    pub fn recovered(&self) -> RecoveredState {
+        let decode = |(name, value): (&String, &Vec<u8>)| {
+            (name.clone(), IdempotencyRecord::decode(value).expect("a record"))
+        };
+        RecoveredState { records: self.records.iter().map(decode).collect(), interrupted: Vec::new() }
+    }
+
     /// The store reports that it can persist again.
     pub fn recover_store(&mut self) {
         self.report_store(None);
