A folder of usage-report or reconcile keeps its part when the list changes

A folder taken out had the next one's hours passed over or told twice. reconcile had the same numbering.

Cause: a partition, its cursor and the act's part were the index of a folder in the operator's list.

Change: each folder has a slot by its path. The table is kept by the control replicas in two tasks beside the task; one process at a time adds to it under a lease, names first, their number last. Slots are not reused. A control folder of the version before is taken over by the first list, in its order, and its cursors go on. The cursor names the length of the reported hours; hours of another length are refused with a line that says what to do.

Compatible: the wire to the ledger and to the replicas is as it was; cursors of sums have 8 bytes more; owners shows four more tasks and reads both forms.

Related paths: counter-demo (no list), planners (one partition), owners (prints cursors). A takeover was tested by cursors and numbering, not with a real control folder of the version before.

--- a/crates/server/src/leases/mod.rs
+++ b/crates/server/src/leases/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod control_replica;
 pub mod counter_demo;
+pub mod folder_slots;
 pub mod known_replicas;
 pub mod lease_holder;
 pub mod owners_command;
@@ -154,6 +155,9 @@
         reconcile::TASK_NAME.to_string(),
         usage_report::TASK_NAME.to_string(),
     ];
+    names.extend(
+        [reconcile::TASK_NAME, usage_report::TASK_NAME].into_iter().flat_map(folder_slots::table_tasks),
+    );
     names.extend(operator.counter_demo.iter().map(|tally| tally.task.clone()));
     let tier = operator.tier.iter();
     names.extend(tier.flat_map(|tier| tier.planners.iter().map(|planner| planner.name.clone())));
--- a/crates/server/src/leases/owners_command.rs
+++ b/crates/server/src/leases/owners_command.rs
@@ -86,7 +86,7 @@
     for status in listed {
         let (lease_left_ms, age_ms) = (status.lease_left as f64 / 10.0, status.cursor_age as f64 / 10.0);
         let (task, owner) = (name(status.partition.task), name(status.owner));
-        let item = status.cursor.clone().try_into().map(u64::from_le_bytes).ok();
+        let item = status.cursor.first_chunk().map(|item| u64::from_le_bytes(*item));
         text += &if as_json {
             let age_ms = (status.cursor_age >= 0).then_some(age_ms);
             let owner = (status.owner != 0).then_some(owner);
--- a/crates/server/src/leases/reconcile.rs
+++ b/crates/server/src/leases/reconcile.rs
@@ -1,6 +1,6 @@
 //! A task on behalf of instances that are down. Their stores name the requests that were admitted and not answered, and the
 //! idempotency keys whose request was started with an unknown outcome. The task reports each such row to a ledger once. A partition is
-//! a store's folder, on a volume that all instances reach that may own the task.
+//! the slot of a store's folder ([`folder_slots`]), on a volume that all instances reach that may own the task.
 //!
 //! A folder is read only while no process holds its lock: it is opened, read and closed in one step. A folder whose lock is held belongs
 //! to a running instance, which reports its rows itself. Rows have no order over the restarts of an instance, so each row is reported
@@ -11,6 +11,7 @@
 //! {"part":0,"item":8813…,"taken":true}      or taken false, where the ledger has seen a later token
 //! ```
 
+use super::folder_slots;
 use super::task_worker::{self, Item, ItemSource};
 use super::ControlReplicas;
 use crate::core::persistence::{KeyState, RecoveredState};
@@ -75,7 +76,8 @@
 }
 
 struct Folders {
-    folders: Vec<PathBuf>,
+    /// The folder of each slot that the configuration names.
+    by_slot: Vec<Option<PathBuf>>,
     interval: Time,
     owned: HashMap<u32, OwnedFolder>,
 }
@@ -89,7 +91,7 @@
     }
     fn next_item(&mut self, partition: u32) -> Result<Item, Time> {
         let (Some(folder), Some(owned)) =
-            (self.folders.get(partition as usize), self.owned.get_mut(&partition))
+            (self.by_slot.get(partition as usize).and_then(Option::as_ref), self.owned.get_mut(&partition))
         else {
             return Err(self.interval);
         };
@@ -120,7 +122,13 @@
 
 /// Runs the task until SIGTERM.
 pub async fn run(name: &str, control: &ControlReplicas, config: &ReconcileConfig) -> io::Result<()> {
-    let folders =
-        Folders { folders: config.folders.clone(), interval: config.interval, owned: HashMap::new() };
-    task_worker::run(name, control, TASK_NAME, config.folders.len() as u32, config.ledger, folders).await
+    let Some(table) =
+        task_worker::unless_terminated(folder_slots::register(name, control, TASK_NAME, &config.folders))
+            .await?
+    else {
+        return Ok(());
+    };
+    let by_slot = table.folders_by_slot(&config.folders);
+    let folders = Folders { by_slot, interval: config.interval, owned: HashMap::new() };
+    task_worker::run(name, control, TASK_NAME, table.len() as u32, config.ledger, folders).await
 }
--- a/crates/server/src/leases/task_worker.rs
+++ b/crates/server/src/leases/task_worker.rs
@@ -16,6 +16,7 @@
 use cypresscleat_leases::{node_id, Claim, Partition, Time};
 use serde_json::{json, Map, Value};
 use std::collections::HashMap;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -103,6 +104,15 @@
     }
 }
 
+/// Returns the output of the future, or `None` where SIGTERM comes first.
+pub async fn unless_terminated<T>(future: impl Future<Output = io::Result<T>>) -> io::Result<Option<T>> {
+    let mut sigterm = signal(SignalKind::terminate())?;
+    tokio::select! {
+        output = future => output.map(Some),
+        _ = sigterm.recv() => Ok(None),
+    }
+}
+
 /// Claims the partitions of a task, and processes the items of those that it owns until SIGTERM.
 pub async fn run(
     name: &str,
--- a/crates/server/src/leases/usage_report.rs
+++ b/crates/server/src/leases/usage_report.rs
@@ -1,10 +1,12 @@
 //! Usage report of the fleet: the sums of each instance's billing rows by the hour, reported to a ledger once for each hour that had
-//! rows. A partition is the folder of one instance; its cursor is the next hour. [`hourly_usage`] describes where the sums come from.
+//! rows. A partition is the slot of one instance's folder ([`folder_slots`]); its cursor is the next hour, and the length of the hours.
+//! [`hourly_usage`] describes where the sums come from.
 //!
 //! ```text
 //! {"duty":"sums","part":0,"item":489123,"rows":311,"billed_milli":933000,"token":57,"by":"n1"}
 //! ```
 
+use super::folder_slots;
 use super::task_worker::{self, Item, ItemSource};
 use super::ControlReplicas;
 use crate::hourly_usage::{self, HourTotals};
@@ -30,11 +32,44 @@
 /// Name of the task.
 pub const TASK_NAME: &str = "sums";
 
+/// How far the hours of a folder are reported.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReportCursor {
+    /// The next hour to report.
+    pub next_hour: u64,
+    /// Length of the reported hours in milliseconds; `None` where an earlier version saved the cursor.
+    pub hour_ms: Option<u64>,
+}
+
+impl ReportCursor {
+    /// The stored form.
+    pub fn encode(self) -> Vec<u8> {
+        let mut bytes = self.next_hour.to_le_bytes().to_vec();
+        bytes.extend(self.hour_ms.iter().flat_map(|hour_ms| hour_ms.to_le_bytes()));
+        bytes
+    }
+
+    /// Reads the stored form; of no bytes, the start.
+    pub fn decode(bytes: &[u8]) -> ReportCursor {
+        let Some((next_hour, rest)) = bytes.split_first_chunk() else { return ReportCursor::default() };
+        let hour_ms = rest.first_chunk().map(|hour_ms| u64::from_le_bytes(*hour_ms));
+        ReportCursor { next_hour: u64::from_le_bytes(*next_hour), hour_ms }
+    }
+
+    /// Whether hours of this length continue what was reported. Hours of another length have other numbers, under which rows would be
+    /// reported a second time or passed over.
+    pub fn continues_with(self, hour_ms: u64) -> bool {
+        self.next_hour == 0 || self.hour_ms.is_none_or(|reported_ms| reported_ms == hour_ms)
+    }
+}
+
 /// An owned partition.
 #[derive(Default)]
 struct OwnedFolder {
     /// The next hour to report.
     next_hour: u64,
+    /// Hours of another length were reported: nothing more is.
+    is_refused: bool,
     unreported: VecDeque<(u64, HourTotals)>,
     /// The last read error that was logged, so that the same error is logged once.
     logged_error: String,
@@ -42,26 +77,47 @@
 
 struct Folders {
     config: UsageReportConfig,
+    /// The folder of each slot that the configuration names.
+    by_slot: Vec<Option<PathBuf>>,
     owned: HashMap<u32, OwnedFolder>,
 }
 
+impl Folders {
+    fn hour_ms(&self) -> u64 {
+        (self.config.hour_length / 10).max(1) as u64
+    }
+
+    fn folder(&self, slot: u32) -> Option<&PathBuf> {
+        self.by_slot.get(slot as usize)?.as_ref()
+    }
+}
+
 impl ItemSource for Folders {
     fn start_partition(&mut self, partition: u32, cursor: &[u8]) {
-        let next_hour = cursor.try_into().map(u64::from_le_bytes).unwrap_or(0);
-        self.owned.insert(partition, OwnedFolder { next_hour, ..OwnedFolder::default() });
+        let cursor = ReportCursor::decode(cursor);
+        let is_refused = !cursor.continues_with(self.hour_ms());
+        if let (true, Some(folder), Some(reported_ms)) = (is_refused, self.folder(partition), cursor.hour_ms)
+        {
+            let (folder, hour_ms) = (folder.display(), self.hour_ms());
+            log!(
+                "{folder}: hours of {reported_ms} ms were reported, and are {hour_ms} ms long now: nothing is reported; \
+                 set `span` and `hours` back, or give the instance a new folder"
+            );
+        }
+        let next_hour = cursor.next_hour;
+        self.owned.insert(partition, OwnedFolder { next_hour, is_refused, ..OwnedFolder::default() });
     }
     fn stop_partition(&mut self, partition: u32) {
         self.owned.remove(&partition);
     }
     fn next_item(&mut self, partition: u32) -> Result<Item, Time> {
         let interval = self.config.interval;
-        let folder =
-            self.config.folders.get(partition as usize).filter(|folder| folder.is_dir()).ok_or(interval)?;
-        let owned = self.owned.get_mut(&partition).ok_or(interval)?;
+        let hour_ms = self.hour_ms();
+        let folder = self.folder(partition).filter(|folder| folder.is_dir()).ok_or(interval)?.clone();
+        let owned = self.owned.get_mut(&partition).filter(|owned| !owned.is_refused).ok_or(interval)?;
         if owned.unreported.is_empty() {
-            let (hour_length, now) =
-                ((self.config.hour_length / 10).max(1) as u64, (clock::unix_time() / 10) as u64);
-            match hourly_usage::read_closed_hours(folder, hour_length, owned.next_hour, now) {
+            let now = (clock::unix_time() / 10) as u64;
+            match hourly_usage::read_closed_hours(&folder, hour_ms, owned.next_hour, now) {
                 Ok(sums) => owned.unreported = sums.into(),
                 Err(error) if error != owned.logged_error => {
                     log!("{error}");
@@ -73,7 +129,8 @@
         let (hour, sum) = owned.unreported.front().copied().ok_or(interval)?;
         let fields = [("rows", json!(sum.rows)), ("billed_milli", json!(sum.billed_milli))];
         let fields = fields.into_iter().map(|(key, value)| (key.to_string(), value)).collect();
-        Ok(Item { number: hour, fields, cursor_after: Some((hour + 1).to_le_bytes().to_vec()) })
+        let cursor = ReportCursor { next_hour: hour + 1, hour_ms: Some(hour_ms) };
+        Ok(Item { number: hour, fields, cursor_after: Some(cursor.encode()) })
     }
     fn complete_item(&mut self, partition: u32, number: u64) -> Time {
         if let Some(owned) = self.owned.get_mut(&partition) {
@@ -86,6 +143,13 @@
 
 /// Runs the task until SIGTERM.
 pub async fn run(name: &str, control: &ControlReplicas, config: &UsageReportConfig) -> io::Result<()> {
-    let folders = Folders { config: config.clone(), owned: HashMap::new() };
-    task_worker::run(name, control, TASK_NAME, config.folders.len() as u32, config.ledger, folders).await
+    let Some(table) =
+        task_worker::unless_terminated(folder_slots::register(name, control, TASK_NAME, &config.folders))
+            .await?
+    else {
+        return Ok(());
+    };
+    let by_slot = table.folders_by_slot(&config.folders);
+    let folders = Folders { config: config.clone(), by_slot, owned: HashMap::new() };
+    task_worker::run(name, control, TASK_NAME, table.len() as u32, config.ledger, folders).await
 }
--- a/crates/server/tests/owners.rs
+++ b/crates/server/tests/owners.rs
@@ -549,3 +549,95 @@
         ledger.journal().iter().filter(|act| act.taken && act.part == 0).map(|act| act.token).collect();
     assert!(tokens.is_sorted());
 }
+
+/// Writes the store of an instance that is down: one billing row of 1.5 in each of the last `hours` seconds before now.
+fn write_billed_store(folder: &Path, hours: u64) {
+    let disk = cypresscleat_store::disk::DiskDirectory::open(folder).expect("a directory");
+    let mut store = cypresscleat_store::Store::open(disk, Default::default()).expect("a store");
+    let now = std::time::UNIX_EPOCH.elapsed().map_or(0, |since| since.as_millis() as u64);
+    for hour in 1..=hours {
+        let key = format!("b/{:016}/{hour:016x}", now - hour * 1000);
+        store.put(key.as_bytes(), b"lookup,,1.5,0,0,succeeded").expect("a write");
+    }
+    store.commit(true).expect("a working disk");
+}
+
+/// Guards against hours and rows that are reported a second time, and against such that are passed over, when the list of folders changes
+/// its order, grows in the middle and shrinks, and when the hours of a folder change their length.
+#[test]
+fn a_folder_keeps_its_part_whatever_becomes_of_the_list() {
+    let mut stage = start_stage(3, 1, 1, ms(50));
+    for (key, role, more) in [("sums", "sums", ", span: 1s"), ("settle", "settle", "")] {
+        let ledger = Ledger::start();
+        let folder = |name: &str| stage.folder().join(format!("{role}-{name}"));
+        let settings = |names: &[&str], more: &str| {
+            let list: Vec<String> =
+                names.iter().map(|name| format!("{:?}", folder(name).display().to_string())).collect();
+            format!(
+                "{key}: {{ledger: \"{}\", folders: [{}], every: 100ms{more}}}",
+                ledger.address,
+                list.join(", ")
+            )
+        };
+        let text = |process: &Process| format!("{:?}", process.log());
+        let expected = |count: u64| if key == "sums" { count } else { count + 1 };
+        let write = |name: &str, count: u64| match key {
+            "sums" => write_billed_store(&folder(name), count),
+            _ => write_killed_store(&folder(name), count),
+        };
+        let mut known: std::collections::BTreeMap<&str, u64> = Default::default();
+        let lists: [&[&str]; 5] =
+            [&["b", "d"], &["b", "c", "d"], &["d", "b", "a", "c"], &["c"], &["a", "b", "c", "d"]];
+        for (round, names) in lists.iter().enumerate() {
+            for (name, count) in [("a", 3), ("b", 5), ("c", 7), ("d", 9)] {
+                if names.contains(&name) && !known.contains_key(name) {
+                    write(name, count);
+                    known.insert(name, expected(count));
+                }
+            }
+            let mut process = stage.also(role, &format!("{role}{round}"), &settings(names, more));
+            process.start();
+            let total: u64 = known.values().sum();
+            let until = Instant::now() + TIMEOUT;
+            let taken = || ledger.journal().iter().filter(|act| act.taken).count() as u64;
+            while taken() < total {
+                assert!(
+                    Instant::now() < until,
+                    "{role}, {names:?}: {} of {total} rows\n{}",
+                    taken(),
+                    text(&process)
+                );
+                sleep(ms(5));
+            }
+            sleep(ms(300));
+            assert_eq!(taken(), total, "{role}, {names:?}: nothing is reported a second time");
+            process.end();
+            assert!(process.ended(TIMEOUT).is_some_and(|status| status.success()));
+        }
+        // Each folder has one part: its own rows, and no others.
+        let mut by_part: std::collections::BTreeMap<u64, u64> = Default::default();
+        ledger
+            .journal()
+            .iter()
+            .filter(|act| act.taken)
+            .for_each(|act| *by_part.entry(act.part).or_default() += 1);
+        let mut counts: Vec<u64> = by_part.into_values().collect();
+        counts.sort_unstable();
+        assert_eq!(counts, [3, 5, 7, 9].map(expected));
+        if key == "sums" {
+            // Hours of another length have other numbers: they are not reported anew.
+            let mut process = stage.also(role, "longer", &settings(&["a"], ", span: 2s"));
+            process.start();
+            let until = Instant::now() + TIMEOUT;
+            while !text(&process).contains("hours of 1000 ms were reported, and are 2000 ms long now") {
+                assert!(Instant::now() < until, "{}", text(&process));
+                sleep(ms(10));
+            }
+            sleep(ms(300));
+            assert_eq!(ledger.journal().iter().filter(|act| act.taken).count(), 24);
+            process.end();
+            assert!(process.ended(TIMEOUT).is_some_and(|status| status.success()));
+        }
+    }
+    stage.apply_order(&Order::Heal);
+}
