Readers of a store make way for a server that starts on it

Cause: the reader holds the store's lock while it opens and adds up, which takes seconds at that size; a start waits for half a second. Reading on the task that renews the lease, it loses the partition over each read, drops what it read and begins anew, so that it holds the lock most of the time.

Change: a start announces itself by a lock on a file WANTED beside LOCK; readers (usage-report, reconcile) look every 5 ms, at each read and between the segments of an open, and then every read fails for good, so that the store is dropped before anything of it is written; none begins while a process waits. Both locks end with their process. Writes of a reader are not interrupted.

Not in this commit: the reads on the task that renews the lease, and that each of them costs the whole store.

With the look at the announcement taken out a_reader_makes_way_for_a_process_that_opens_the_store fails with the row in place of Interrupted. store 21 tests, owners 17, starts 5, server's store 7 pass.

--- a/crates/server/src/hourly_usage.rs
+++ b/crates/server/src/hourly_usage.rs
@@ -16,6 +16,8 @@
 use cypresscleat_store::{Error, Result, Store, StoreOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
 
 /// Maximum number of closed hours in the exported file. Earlier hours can be read only from the store, while no process holds it.
 const MAX_EXPORTED_HOURS: usize = 2000;
@@ -177,35 +179,51 @@
     folder.with_file_name(name)
 }
 
-/// Returns the closed hours of an instance, starting with hour `from`. They are read from its store if no process holds the store,
-/// else from the exported file. `unix_ms` is the current time: in a store that no process holds the current hour stays open, as the
-/// instance may restart within that hour.
+/// Closed hours of an instance, and whether they are those of its store or of the exported file.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ClosedHours {
+    pub hours: Vec<(u64, HourTotals)>,
+    /// No process holds the store: nothing is added until one does.
+    pub is_from_store: bool,
+}
+
+/// Returns the closed hours of an instance, starting with hour `from`. They are read from its store if no process holds the store or
+/// waits for it, else from the exported file. `unix_ms` is the current time: in a store that no process holds the current hour stays
+/// open, as the instance may restart within that hour. `cancelled` ends the read.
 pub fn read_closed_hours(
     folder: &Path,
     hour_ms: u64,
     from: u64,
     unix_ms: u64,
-) -> std::result::Result<Vec<(u64, HourTotals)>, String> {
-    let to_text = |error: Error| error.to_string();
-    let mut all = match DiskDirectory::open(folder) {
-        Err(Error::Locked) => read_exported_hours(folder, hour_ms)?,
-        Err(error) => return Err(to_text(error)),
-        Ok(disk) => {
-            let mut store = Store::open(disk, StoreOptions::default()).map_err(to_text)?;
-            let mut hours = HourlyUsage::load(&mut store, hour_ms).map_err(to_text)?;
-            hours.close_hours_before_time(unix_ms);
-            // Hours are recorded as closed before they are returned: the instance then counts later rows in other hours.
-            for (key, value) in hours.closed_hour_writes() {
-                if store.get(&key).map_err(to_text)?.as_deref() != Some(&value) {
-                    store.put(&key, &value).map_err(to_text)?;
-                }
-            }
-            store.commit(true).map_err(to_text)?;
-            hours.closed
-        }
+    cancelled: Arc<AtomicBool>,
+) -> std::result::Result<ClosedHours, String> {
+    let (mut hours, is_from_store) = match read_stored_hours(folder, hour_ms, unix_ms, cancelled) {
+        Ok(hours) => (hours, true),
+        Err(Error::Locked | Error::Interrupted) => (read_exported_hours(folder, hour_ms)?, false),
+        Err(error) => return Err(error.to_string()),
     };
-    all.retain(|(hour, _)| *hour >= from);
-    Ok(all)
+    hours.retain(|(hour, _)| *hour >= from);
+    Ok(ClosedHours { hours, is_from_store })
+}
+
+fn read_stored_hours(
+    folder: &Path,
+    hour_ms: u64,
+    unix_ms: u64,
+    cancelled: Arc<AtomicBool>,
+) -> Result<Vec<(u64, HourTotals)>> {
+    let disk = DiskDirectory::open_for_reader(folder, cancelled)?;
+    let mut store = Store::open(disk, StoreOptions::default())?;
+    let mut hours = HourlyUsage::load(&mut store, hour_ms)?;
+    hours.close_hours_before_time(unix_ms);
+    // Hours are recorded as closed before they are returned: the instance then counts later rows in other hours.
+    for (key, value) in hours.closed_hour_writes() {
+        if store.get(&key)?.as_deref() != Some(&value) {
+            store.put(&key, &value)?;
+        }
+    }
+    store.commit(true)?;
+    Ok(hours.closed)
 }
 
 fn read_exported_hours(folder: &Path, hour_ms: u64) -> std::result::Result<Vec<(u64, HourTotals)>, String> {
--- a/crates/server/src/leases/reconcile.rs
+++ b/crates/server/src/leases/reconcile.rs
@@ -24,6 +24,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
 
 /// The `settle` of the operator's file.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,17 +48,16 @@
     pub what: String,
 }
 
-/// Reads the unresolved rows of a folder's store; `None` where a running instance holds the store, or the folder has none.
-pub fn unresolved_rows(folder: &Path) -> Result<Option<Vec<Row>>, String> {
+/// Reads the unresolved rows of a folder's store; `None` where a running instance holds the store or waits for it, or the
+/// folder has none. `cancelled` ends the read.
+pub fn unresolved_rows(folder: &Path, cancelled: Arc<AtomicBool>) -> Result<Option<Vec<Row>>, String> {
     if !folder.is_dir() {
         return Ok(None);
     }
-    let disk = match DiskDirectory::open(folder) {
-        Err(Error::Locked) => return Ok(None),
-        opened => opened.map_err(|error| error.to_string())?,
+    let loaded = match read_state(folder, cancelled) {
+        Err(Error::Locked | Error::Interrupted) => return Ok(None),
+        loaded => loaded.map_err(|error| error.to_string())?,
     };
-    let mut store = Store::open(disk, StoreOptions::default()).map_err(|error| error.to_string())?;
-    let loaded = RecoveredState::load(&mut store).map_err(|error| error.to_string())?;
     let unanswered = loaded
         .interrupted
         .into_iter()
@@ -67,6 +68,12 @@
     Ok(Some(unanswered.chain(started).take(MAX_ROWS_PER_READ).collect()))
 }
 
+fn read_state(folder: &Path, cancelled: Arc<AtomicBool>) -> Result<RecoveredState, Error> {
+    let disk = DiskDirectory::open_for_reader(folder, cancelled)?;
+    let mut store = Store::open(disk, StoreOptions::default())?;
+    RecoveredState::load(&mut store)
+}
+
 /// An owned partition.
 #[derive(Default)]
 struct OwnedFolder {
@@ -96,7 +103,7 @@
             return Err(self.interval);
         };
         if owned.unreported.is_empty() {
-            match unresolved_rows(folder) {
+            match unresolved_rows(folder, Arc::default()) {
                 Ok(rows) => {
                     let rows = rows.into_iter().flatten();
                     owned.unreported = rows.filter(|row| !owned.reported.contains(&row.key)).collect();
--- a/crates/server/src/leases/usage_report.rs
+++ b/crates/server/src/leases/usage_report.rs
@@ -17,6 +17,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 /// The `sums` of the operator's file.
 #[derive(Clone, Debug, PartialEq)]
@@ -117,8 +118,8 @@
         let owned = self.owned.get_mut(&partition).filter(|owned| !owned.is_refused).ok_or(interval)?;
         if owned.unreported.is_empty() {
             let now = (clock::unix_time() / 10) as u64;
-            match hourly_usage::read_closed_hours(&folder, hour_ms, owned.next_hour, now) {
-                Ok(sums) => owned.unreported = sums.into(),
+            match hourly_usage::read_closed_hours(&folder, hour_ms, owned.next_hour, now, Arc::default()) {
+                Ok(closed) => owned.unreported = closed.hours.into(),
                 Err(error) if error != owned.logged_error => {
                     log!("{error}");
                     owned.logged_error = error;
--- a/crates/server/src/store_thread.rs
+++ b/crates/server/src/store_thread.rs
@@ -89,9 +89,10 @@
     Ok((batch_sender, recovered, spawned.map_err(|error| error.to_string())?))
 }
 
-/// Opens and locks the folder. The worker that reports this instance's usage while the instance is down holds the lock briefly, so a
-/// locked folder is retried.
+/// Opens and locks the folder. A task that reads this instance's store while the instance is down has the lock meanwhile: it is asked
+/// to make way, and a locked folder is retried.
 fn open_locked(folder: &Path) -> Result<DiskDirectory, String> {
+    let _announcement = DiskDirectory::announce(folder).map_err(|error| error.to_string())?;
     let deadline = Instant::now() + MAX_LOCK_WAIT;
     loop {
         match DiskDirectory::open(folder) {
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -41,6 +41,9 @@
     /// Another process has the store open.
     #[error("another process has this store open")]
     Locked,
+    /// A reader made way for a process that opens the store, or is wanted no longer.
+    #[error("the read of this store was given up")]
+    Interrupted,
     /// A key is empty, or a key or value exceeds its maximum length; the length of the longer one.
     #[error("key or value has an invalid length of {0} bytes")]
     TooLarge(usize),
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -93,6 +93,7 @@
         };
         let newest = segments.last().cloned();
         for segment in segments {
+            store.disk.check_interruption()?;
             store.load_segment(segment);
         }
         store.writer.acknowledged = store.writer.sequence;
