Folders are read beside the task that renews the leases, and not again unchanged

Cause: next_item read on the task that also renews the lease. A read longer than the lease lost all parts of the process, and what was read with them. Each look, once a second, read the whole store anew.

Evidence: with the read on the task the new test's part changes hands three times at a lease of 1 s; the log has "owns sums part 0 no longer" after each read.

Change: a thread reads one folder at a time; the task looks for the result each 10 ms; a dropped read is cancelled, by the flag that already makes readers give way. usage-report does not read a store again that no process holds, as long as no file of the folder and no hour has changed; the state is taken before the read, so what is written meanwhile shows. reconcile reads on the thread too, at each look as before.

Related paths: the exported file of a running instance (read at each look, small), stop and loss of a part (cancel), SIGTERM (the thread ends with the process), several parts of one process (one after the other).

--- a/crates/server/src/leases/mod.rs
+++ b/crates/server/src/leases/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod control_replica;
 pub mod counter_demo;
+pub mod folder_reader;
 pub mod folder_slots;
 pub mod known_replicas;
 pub mod lease_holder;
--- a/crates/server/src/leases/reconcile.rs
+++ b/crates/server/src/leases/reconcile.rs
@@ -11,6 +11,7 @@
 //! {"part":0,"item":8813…,"taken":true}      or taken false, where the ledger has seen a later token
 //! ```
 
+use super::folder_reader::{FolderReader, PendingRead};
 use super::folder_slots;
 use super::task_worker::{self, Item, ItemSource};
 use super::ControlReplicas;
@@ -74,9 +75,16 @@
     RecoveredState::load(&mut store)
 }
 
+/// Time between two looks at a read that is under way.
+const READ_POLL_INTERVAL: Time = 100;
+
+/// The rows of a folder, as a read has brought them.
+type RowsRead = Result<Option<Vec<Row>>, String>;
+
 /// An owned partition.
 #[derive(Default)]
 struct OwnedFolder {
+    pending_read: Option<PendingRead<RowsRead>>,
     unreported: VecDeque<Row>,
     /// Keys of rows that were reported under this fencing token.
     reported: HashSet<String>,
@@ -86,9 +94,38 @@
     /// The folder of each slot that the configuration names.
     by_slot: Vec<Option<PathBuf>>,
     interval: Time,
+    reader: FolderReader<RowsRead>,
     owned: HashMap<u32, OwnedFolder>,
 }
 
+impl OwnedFolder {
+    /// Reads the folder, or takes the result of the read under way. Returns the time until the next look, where nothing is known yet.
+    fn refresh(&mut self, reader: &FolderReader<RowsRead>, folder: &Path) -> Result<(), Time> {
+        let Some(pending) = &self.pending_read else {
+            let folder = folder.to_path_buf();
+            self.pending_read = Some(reader.read(move |cancelled| unresolved_rows(&folder, cancelled)));
+            return Err(READ_POLL_INTERVAL);
+        };
+        let result = match pending.poll() {
+            Ok(Some(result)) => result,
+            Ok(None) => return Err(READ_POLL_INTERVAL),
+            Err(_) => Err("the thread that reads has ended".to_string()),
+        };
+        self.pending_read = None;
+        match result {
+            Ok(rows) => {
+                let rows = rows.into_iter().flatten();
+                self.unreported = rows.filter(|row| !self.reported.contains(&row.key)).collect();
+            }
+            Err(error) => log!("{}: {error}", folder.display()),
+        }
+        if self.reported.len() > 4 * MAX_ROWS_PER_READ {
+            self.reported.clear(); // rows are then reported again, which changes nothing
+        }
+        Ok(())
+    }
+}
+
 impl ItemSource for Folders {
     fn start_partition(&mut self, partition: u32, _cursor: &[u8]) {
         self.owned.insert(partition, OwnedFolder::default());
@@ -103,16 +140,7 @@
             return Err(self.interval);
         };
         if owned.unreported.is_empty() {
-            match unresolved_rows(folder, Arc::default()) {
-                Ok(rows) => {
-                    let rows = rows.into_iter().flatten();
-                    owned.unreported = rows.filter(|row| !owned.reported.contains(&row.key)).collect();
-                }
-                Err(error) => log!("{}: {error}", folder.display()),
-            }
-            if owned.reported.len() > 4 * MAX_ROWS_PER_READ {
-                owned.reported.clear(); // rows are then reported again, which changes nothing
-            }
+            owned.refresh(&self.reader, folder)?;
         }
         let row = owned.unreported.front().ok_or(self.interval)?;
         let fields = [("row", &row.key), ("what", &row.what)];
@@ -136,6 +164,7 @@
         return Ok(());
     };
     let by_slot = table.folders_by_slot(&config.folders);
-    let folders = Folders { by_slot, interval: config.interval, owned: HashMap::new() };
+    let reader = FolderReader::start()?;
+    let folders = Folders { by_slot, interval: config.interval, reader, owned: HashMap::new() };
     task_worker::run(name, control, TASK_NAME, table.len() as u32, config.ledger, folders).await
 }
--- a/crates/server/src/leases/task_worker.rs
+++ b/crates/server/src/leases/task_worker.rs
@@ -45,7 +45,7 @@
     pub cursor_after: Option<Vec<u8>>,
 }
 
-/// The items of a task. It is called from one async task only. It may block to read files, which delays all owned partitions.
+/// The items of a task. It is called from one async task only, which renews the leases too: it must not block.
 pub trait ItemSource {
     /// The partition is owned from now on; its work resumes at `cursor`.
     fn start_partition(&mut self, partition: u32, cursor: &[u8]);
--- a/crates/server/src/leases/usage_report.rs
+++ b/crates/server/src/leases/usage_report.rs
@@ -6,18 +6,18 @@
 //! {"duty":"sums","part":0,"item":489123,"rows":311,"billed_milli":933000,"token":57,"by":"n1"}
 //! ```
 
+use super::folder_reader::{folder_state, FolderReader, FolderState, PendingRead};
 use super::folder_slots;
 use super::task_worker::{self, Item, ItemSource};
 use super::ControlReplicas;
-use crate::hourly_usage::{self, HourTotals};
+use crate::hourly_usage::{self, ClosedHours, HourTotals};
 use crate::{clock, log};
 use cypresscleat_leases::Time;
 use serde_json::json;
 use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::sync::Arc;
+use std::path::{Path, PathBuf};
 
 /// The `sums` of the operator's file.
 #[derive(Clone, Debug, PartialEq)]
@@ -64,9 +64,24 @@
     }
 }
 
+/// Time between two looks at a read that is under way.
+const READ_POLL_INTERVAL: Time = 100;
+
+/// What a read has brought: the closed hours, and the state in which the folder was before.
+type HoursRead = (Result<ClosedHours, String>, Option<FolderState>);
+
+/// What was read of a store that no process holds. It can be read again only with the same result, until the folder or the hour changes.
+#[derive(PartialEq)]
+struct ReadState {
+    folder: FolderState,
+    hour: u64,
+}
+
 /// An owned partition.
 #[derive(Default)]
 struct OwnedFolder {
+    pending_read: Option<PendingRead<HoursRead>>,
+    last_read: Option<ReadState>,
     /// The next hour to report.
     next_hour: u64,
     /// Hours of another length were reported: nothing more is.
@@ -80,9 +95,54 @@
     config: UsageReportConfig,
     /// The folder of each slot that the configuration names.
     by_slot: Vec<Option<PathBuf>>,
+    reader: FolderReader<HoursRead>,
     owned: HashMap<u32, OwnedFolder>,
 }
 
+impl OwnedFolder {
+    /// Reads the folder, or takes the result of the read under way. Returns the time until the next look, where nothing is known yet.
+    fn refresh(
+        &mut self,
+        reader: &FolderReader<HoursRead>,
+        folder: &Path,
+        (hour_ms, interval): (u64, Time),
+    ) -> Result<(), Time> {
+        let now = (clock::unix_time() / 10) as u64;
+        let hour = now / hour_ms;
+        let Some(pending) = &self.pending_read else {
+            let current = folder_state(folder).ok().map(|folder| ReadState { folder, hour });
+            if current.is_some() && current == self.last_read {
+                return Err(interval);
+            }
+            let (folder, from) = (folder.to_path_buf(), self.next_hour);
+            self.pending_read = Some(reader.read(move |cancelled| {
+                let before = folder_state(&folder).ok();
+                (hourly_usage::read_closed_hours(&folder, hour_ms, from, now, cancelled), before)
+            }));
+            return Err(READ_POLL_INTERVAL);
+        };
+        let (result, before) = match pending.poll() {
+            Ok(Some(read)) => read,
+            Ok(None) => return Err(READ_POLL_INTERVAL),
+            Err(_) => (Err("the thread that reads has ended".to_string()), None),
+        };
+        self.pending_read = None;
+        match result {
+            Ok(closed) => {
+                let before = before.filter(|_| closed.is_from_store);
+                self.last_read = before.map(|folder| ReadState { folder, hour });
+                self.unreported = closed.hours.into();
+            }
+            Err(error) if error != self.logged_error => {
+                log!("{error}");
+                self.logged_error = error;
+            }
+            Err(_) => {}
+        }
+        Ok(())
+    }
+}
+
 impl Folders {
     fn hour_ms(&self) -> u64 {
         (self.config.hour_length / 10).max(1) as u64
@@ -117,15 +177,7 @@
         let folder = self.folder(partition).filter(|folder| folder.is_dir()).ok_or(interval)?.clone();
         let owned = self.owned.get_mut(&partition).filter(|owned| !owned.is_refused).ok_or(interval)?;
         if owned.unreported.is_empty() {
-            let now = (clock::unix_time() / 10) as u64;
-            match hourly_usage::read_closed_hours(&folder, hour_ms, owned.next_hour, now, Arc::default()) {
-                Ok(closed) => owned.unreported = closed.hours.into(),
-                Err(error) if error != owned.logged_error => {
-                    log!("{error}");
-                    owned.logged_error = error;
-                }
-                Err(_) => {}
-            }
+            owned.refresh(&self.reader, &folder, (hour_ms, interval))?;
         }
         let (hour, sum) = owned.unreported.front().copied().ok_or(interval)?;
         let fields = [("rows", json!(sum.rows)), ("billed_milli", json!(sum.billed_milli))];
@@ -151,6 +203,7 @@
         return Ok(());
     };
     let by_slot = table.folders_by_slot(&config.folders);
-    let folders = Folders { config: config.clone(), by_slot, owned: HashMap::new() };
+    let reader = FolderReader::start()?;
+    let folders = Folders { config: config.clone(), by_slot, reader, owned: HashMap::new() };
     task_worker::run(name, control, TASK_NAME, table.len() as u32, config.ledger, folders).await
 }
--- a/crates/server/tests/owners.rs
+++ b/crates/server/tests/owners.rs
@@ -641,3 +641,42 @@
     }
     stage.apply_order(&Order::Heal);
 }
+
+/// Guards the lease of a task that reads a large store: the read takes longer than the lease, the part keeps its owner, and the hours of
+/// the one read reach the ledger.
+#[test]
+fn a_part_keeps_its_owner_while_a_large_store_is_read() {
+    const ROWS: u64 = 600_000;
+    let mut stage = start_stage(3, 1, 1, ms(50));
+    let ledger = Ledger::start();
+    let folder = stage.folder().join("large");
+    {
+        let disk = cypresscleat_store::disk::DiskDirectory::open(&folder).expect("a directory");
+        let mut store = cypresscleat_store::Store::open(disk, Default::default()).expect("a store");
+        let now = std::time::UNIX_EPOCH.elapsed().map_or(0, |since| since.as_millis() as u64);
+        for row in 0..ROWS {
+            let key = format!("b/{:016}/{row:016x}", now - 2_000);
+            store.put(key.as_bytes(), b"lookup,,1.5,0,0,succeeded").expect("a write");
+        }
+        store.commit(true).expect("a working disk");
+    }
+    let begin = Instant::now();
+    let folders = format!("folders: [{:?}]", folder.display().to_string());
+    let settings = format!("sums: {{ledger: \"{}\", {folders}, span: 1s, every: 20ms}}", ledger.address);
+    let mut process = stage.also("sums", "s0", &settings);
+    process.start();
+    let until = begin + 4 * TIMEOUT;
+    while ledger.journal().is_empty() {
+        assert!(Instant::now() < until, "{:?}", process.log());
+        sleep(ms(10));
+    }
+    // On a machine that reads this faster than a lease lasts the test shows nothing.
+    println!("reported after {:?}, the lease is {LEASE:?}", begin.elapsed());
+    assert_eq!(ledger.journal()[0].said["rows"], serde_json::json!(ROWS));
+    let log = process.log();
+    let owned = |line: &&(Instant, String)| line.1.contains("owns sums part 0");
+    assert_eq!(log.iter().filter(owned).count(), 1, "{log:?}");
+    process.end();
+    assert!(process.ended(TIMEOUT).is_some_and(|status| status.success()));
+    stage.apply_order(&Order::Heal);
+}
