Requests that are held for a policy change are answered before a drain's stop

Cause: a held request is known to the core alone, whose limit is the client's timeout; the notice limits what the scheduler has.

Change: the notice limits held requests, and those held after it, to the scheduler's drain_deadline; they are then rejected, as they never ran. Related paths: what waits for the store (limited by the same call), retries that wait (limited by the scheduler), requests in the queue before the core (handled as they come; past the grace they are rejected).

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -247,7 +247,7 @@
 
     /// When `tick` must be called next.
     pub fn wake_at(&self) -> Time {
-        let held = self.held_requests.iter().map(|held| held.0).min().unwrap_or(Time::MAX);
+        let held = self.held_requests.iter().map(|held| held.deadline).min().unwrap_or(Time::MAX);
         let deferred = self.host.persistence.as_ref().map_or(Time::MAX, Persistence::next_respond_by);
         self.host.gauges_deadline.unwrap_or(self.host.wake_at).min(held).min(deferred)
     }
@@ -348,6 +348,7 @@
     fn limit_deferred_responses(&mut self) {
         if let Some(deadline) = self.scheduler.as_ref().and_then(Scheduler::drain_deadline) {
             self.host.set_drain_deadline(deadline);
+            self.limit_held(deadline);
         }
     }
 
--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -22,9 +22,14 @@
 /// A held request is rejected this long before its client's timeout.
 const HELD_REJECT_MARGIN: Time = 50 * MS;
 
-/// A request that is held while a policy change pauses admission: when it is rejected at the latest, its connection and
-/// stream, and the request.
-pub(super) type HeldRequest = (Time, Rc<Peer>, u32, IncomingRequest);
+/// A request that is held while a policy change pauses admission.
+pub(super) struct HeldRequest {
+    /// When it is rejected at the latest.
+    pub(super) deadline: Time,
+    peer: Rc<Peer>,
+    stream: u32,
+    request: IncomingRequest,
+}
 
 /// What the gates decide about new work.
 enum GateDecision {
@@ -97,7 +102,8 @@
 
     /// Evaluates the held requests again, in their order of arrival.
     pub(super) fn admit_held(&mut self, unix_time: Time) {
-        for (_, peer, stream, request) in std::mem::take(&mut self.held_requests) {
+        for held in std::mem::take(&mut self.held_requests) {
+            let HeldRequest { peer, stream, request, .. } = held;
             peer.queued_requests.set(peer.queued_requests.get().saturating_sub(1));
             match (peer.is_closed.get(), peer.is_closing.get()) {
                 (true, _) => {}
@@ -107,6 +113,13 @@
         }
     }
 
+    /// Limits the time of the held requests: a drain answers them before the process is stopped.
+    pub(super) fn limit_held(&mut self, deadline: Time) {
+        for held in &mut self.held_requests {
+            held.deadline = held.deadline.min(deadline);
+        }
+    }
+
     /// Admits a request, which then is an open request, or answers it at once.
     ///
     /// What became of an earlier attempt is asked before any gate is: a gate rejects, which promises that the request
@@ -251,10 +264,12 @@
         peer.queued_requests.set(peer.queued_requests.get() + 1); // counts as queued, so that its connection stays open
         let class = self.settings.classes.get(request.class);
         let remaining_timeout = request.remaining_timeout.or(class.map(|class| class.timeout));
-        let deadline = self.host.now + remaining_timeout.unwrap_or(0)
-            - (unix_time - request.arrived_at).max(0)
-            - HELD_REJECT_MARGIN;
-        self.held_requests.push_back((deadline, peer, stream, request));
+        let held_at = self.host.now;
+        let client_deadline =
+            held_at + remaining_timeout.unwrap_or(0) - (unix_time - request.arrived_at).max(0);
+        let deadline =
+            (client_deadline - HELD_REJECT_MARGIN).min(self.host.drain_deadline.unwrap_or(Time::MAX));
+        self.held_requests.push_back(HeldRequest { deadline, peer, stream, request });
     }
 
     /// Opens a request and hands it to the scheduler. Before the executor is up there is none, and the request is one
@@ -331,10 +346,10 @@
     pub(super) fn expire_held(&mut self, now: Time) {
         for at in (0..self.held_requests.len())
             .rev()
-            .filter(|at| self.held_requests[*at].0 <= now)
+            .filter(|at| self.held_requests[*at].deadline <= now)
             .collect::<Vec<_>>()
         {
-            let Some((_, peer, stream, _)) = self.held_requests.remove(at) else { continue };
+            let Some(HeldRequest { peer, stream, .. }) = self.held_requests.remove(at) else { continue };
             peer.queued_requests.set(peer.queued_requests.get().saturating_sub(1));
             if !peer.is_closed.get() {
                 add(&self.host.counters.policy_refused);
@@ -356,8 +371,7 @@
 
     /// Withdraws a held request whose client has left.
     pub(super) fn withdraw_held(&mut self, peer: &Rc<Peer>, stream: u32) {
-        let held =
-            |held: &(Time, Rc<Peer>, u32, IncomingRequest)| Rc::ptr_eq(&held.1, peer) && held.2 == stream;
+        let held = |held: &HeldRequest| Rc::ptr_eq(&held.peer, peer) && held.stream == stream;
         if let Some(at) = self.held_requests.iter().position(held) {
             self.held_requests.remove(at);
             peer.queued_requests.set(peer.queued_requests.get().saturating_sub(1));
--- a/crates/server/tests/core_cases/gates.rs
+++ b/crates/server/tests/core_cases/gates.rs
@@ -236,3 +236,18 @@
         scenario.run_line(&expected.replace(" 1 ", " 2 "));
     }
 }
+
+/// Guards requests that are held in a drain, also those that came before the notice: each is answered before the process is stopped.
+#[test]
+fn held_requests_are_answered_before_the_stop_of_a_drain() {
+    let mut scenario = start("retryable", StoreMode::None);
+    scenario.run_line("10 policy holds");
+    scenario.run_line("20 a sends 1 1");
+    scenario.run_line("100 term 2000");
+    scenario.run_line("200 b sends 9 2");
+    scenario.run_line("2000 pass");
+    scenario.run_line("refuse a 1");
+    scenario.run_line("2070 pass");
+    scenario.run_line("expect a 1 throttled");
+    scenario.run_line("expect b 9 throttled");
+}
