The time that a client states goes on while its request is held

What callers saw: a gateway that states how long it waits could be answered later than that, by the time for which its request had been held for a policy change.

Cause: the stated time counts from when the request is handed to the scheduler, and was handed on as it had come.

Evidence: read in the review; then by the test.

Change: the time of the hold is taken off when the request is evaluated again. Related paths: requests whose class gives the time count from their arrival (unchanged); the deadline of the hold itself is computed once for each hold.

--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -26,6 +26,7 @@
 pub(super) struct HeldRequest {
     /// When it is rejected at the latest.
     pub(super) deadline: Time,
+    held_at: Time,
     peer: Rc<Peer>,
     stream: u32,
     request: IncomingRequest,
@@ -103,8 +104,11 @@
     /// Evaluates the held requests again, in their order of arrival.
     pub(super) fn admit_held(&mut self, unix_time: Time) {
         for held in std::mem::take(&mut self.held_requests) {
-            let HeldRequest { peer, stream, request, .. } = held;
+            let HeldRequest { held_at, peer, stream, mut request, .. } = held;
             peer.queued_requests.set(peer.queued_requests.get().saturating_sub(1));
+            // The client has waited meanwhile.
+            let waited = self.host.now - held_at;
+            request.remaining_timeout = request.remaining_timeout.map(|timeout| (timeout - waited).max(0));
             match (peer.is_closed.get(), peer.is_closing.get()) {
                 (true, _) => {}
                 (false, true) => peer.writer.write_error(&peer.outbox, stream, RequestError::Malformed),
@@ -269,7 +273,7 @@
             held_at + remaining_timeout.unwrap_or(0) - (unix_time - request.arrived_at).max(0);
         let deadline =
             (client_deadline - HELD_REJECT_MARGIN).min(self.host.drain_deadline.unwrap_or(Time::MAX));
-        self.held_requests.push_back(HeldRequest { deadline, peer, stream, request });
+        self.held_requests.push_back(HeldRequest { deadline, held_at, peer, stream, request });
     }
 
     /// Opens a request and hands it to the scheduler. Before the executor is up there is none, and the request is one
--- a/crates/server/tests/core_cases/gates.rs
+++ b/crates/server/tests/core_cases/gates.rs
@@ -251,3 +251,17 @@
     scenario.run_line("expect a 1 throttled");
     scenario.run_line("expect b 9 throttled");
 }
+
+/// Guards the time that a client states: it goes on while its request is held.
+#[test]
+fn the_time_that_a_client_states_passes_while_its_request_is_held() {
+    let mut scenario = start("retryable", StoreMode::None);
+    scenario.run_line("10 policy holds");
+    scenario.run_line("20 a sends 1 1 within=600");
+    scenario.run_line("400 policy admits");
+    scenario.run_line("expect kernel SCHED 1 ask");
+    scenario.run_line("600 pass");
+    scenario.run_line("refuse a 1");
+    scenario.run_line("670 pass");
+    scenario.run_line("expect a 1 errored");
+}
--- a/crates/server/tests/core_cases/scenario.rs
+++ b/crates/server/tests/core_cases/scenario.rs
@@ -4,7 +4,7 @@
 //!   TIME link | unlink [BYTES]        the link to the executor is up and all missed notices were received | is lost, after
 //!                                     all bytes written to it, or that many of those written since the last step
 //!   TIME NAME sends STREAM TXN [FIELD=VALUE ...]   a request on the connection NAME, a frame of kind 2; its body is "ask",
-//!                                     or the value of `body=WORD`
+//!                                     or the value of `body=WORD`; with `within=MS` the client states how long it waits
 //!   TIME NAME leaves STREAM           the client no longer waits for the stream
 //!   TIME NAME closes                  the connection is closed
 //!   TIME NAME told                    the client was asked to send no new request on the connection
@@ -281,6 +281,7 @@
                 fields.extend(rest.iter().map(|pair| pair.split_once('=').expect("FIELD=VALUE")));
                 fields.retain(|_, value| !value.is_empty());
                 let body = fields.remove("body").unwrap_or("ask");
+                let within = fields.remove("within").map(|ms| ms.parse::<Time>().expect("milliseconds") * 10);
                 let fields: Vec<_> = fields.into_iter().collect();
                 let mut payload = Vec::new();
                 frames::write_fields(&mut payload, &fields);
@@ -289,7 +290,10 @@
                 let peer = self.peers.entry(name.to_string()).or_insert_with(new_peer).clone();
                 peer.queued_requests.set(peer.queued_requests.get() + 1);
                 let stream = stream.parse().expect("a stream");
-                let request = read_request(self.buf(&payload), &self.names);
+                let mut request = read_request(self.buf(&payload), &self.names);
+                if let (Ok(request), Some(within)) = (&mut request, within) {
+                    request.remaining_timeout = Some(within);
+                }
                 self.handle_event(CoreEvent::RequestArrived { peer, stream, request });
             }
             [name, "leaves", stream] => {
