No role ends on SIGHUP or SIGUSR1

Cause: each role installed the handlers that it had thought of; a signal without one ends a process.

Change: one rule in one place (signals.rs): SIGHUP reads again what can change in service, or says in the log what it leaves; SIGUSR1 logs the state. A task answers them while it waits for its parts too. A control replica reads its file on SIGHUP as before, and logs since when it runs on SIGUSR1.

Related paths: app servers and forwarders (both handled before), the commands policy, owners, check (end by themselves).

--- a/crates/server/src/leases/control_replica.rs
+++ b/crates/server/src/leases/control_replica.rs
@@ -208,6 +208,7 @@
 pub async fn run(name: &str, control: &ControlReplicas, path: Option<&Path>) -> io::Result<()> {
     let mut sigterm = signal(SignalKind::terminate()).map_err(add_context("signals"))?;
     let mut sighup = signal(SignalKind::hangup()).map_err(add_context("signals"))?;
+    let mut report = signal(SignalKind::user_defined1()).map_err(add_context("signals"))?;
     let mut control = control.clone();
     let folder =
         control.folder.clone().ok_or_else(|| to_io_error("a control replica requires keepers.folder"))?;
@@ -220,6 +221,13 @@
     let with_address = add_context(format!("keeper {name} on {listen}"));
     let socket = UdpSocket::bind(listen).await.map_err(with_address)?;
     log!("keeper {name} listens on {}", socket.local_addr()?);
+    let text = format!("keeper {name} runs on {listen} since");
+    let started = std::time::Instant::now();
+    tokio::task::spawn_local(async move {
+        while report.recv().await.is_some() {
+            log!("{text} {} s", started.elapsed().as_secs());
+        }
+    });
     loop {
         let reason = tokio::select! {
             ended = run_incarnation(name, &mut control, &folder, &socket, (&mut sighup, path)) => ended?,
--- a/crates/server/src/leases/task_worker.rs
+++ b/crates/server/src/leases/task_worker.rs
@@ -12,6 +12,7 @@
 use super::lease_holder::LeaseHolder;
 use super::ControlReplicas;
 use crate::log;
+use crate::signals::{OperatorSignal, OperatorSignals};
 use cypresscleat_leases::client::LeaseEvent;
 use cypresscleat_leases::{node_id, Claim, Partition, Time};
 use serde_json::{json, Map, Value};
@@ -31,6 +32,8 @@
 const MAX_LINE_BYTES: usize = 4096;
 /// Time limit of a connection attempt, and of writing a line.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// What SIGHUP leaves as it is.
+const READ_AT_START_ONLY: &str = "the operator's file is read with a start only: nothing of it has changed";
 /// Time until an operation without a response is sent again.
 const RETRY_DELAY: Time = 5_000;
 /// Next attempt of a partition whose token the ledger has rejected as stale: none until it is acquired again.
@@ -107,9 +110,17 @@
 /// Returns the output of the future, or `None` where SIGTERM comes first.
 pub async fn unless_terminated<T>(future: impl Future<Output = io::Result<T>>) -> io::Result<Option<T>> {
     let mut sigterm = signal(SignalKind::terminate())?;
-    tokio::select! {
-        output = future => output.map(Some),
-        _ = sigterm.recv() => Ok(None),
+    let mut signals = OperatorSignals::install()?;
+    tokio::pin!(future);
+    loop {
+        tokio::select! {
+            output = &mut future => return output.map(Some),
+            _ = sigterm.recv() => return Ok(None),
+            signal = signals.next() => match signal {
+                OperatorSignal::Reload => log!("{READ_AT_START_ONLY}"),
+                OperatorSignal::Report => log!("not ready yet: waits for its parts"),
+            },
+        }
     }
 }
 
@@ -123,6 +134,7 @@
     mut source: impl ItemSource,
 ) -> io::Result<()> {
     let mut sigterm = signal(SignalKind::terminate())?;
+    let mut signals = OperatorSignals::install()?;
     let task_id = node_id(task);
     let mut holder =
         LeaseHolder::new(name, control, vec![Claim { task: task_id, partitions: partition_count, rank: 0 }])
@@ -192,6 +204,10 @@
                 }
             }
             _ = sigterm.recv() => break,
+            signal = signals.next() => match signal {
+                OperatorSignal::Reload => log!("{READ_AT_START_ONLY}"),
+                OperatorSignal::Report => log!("owns {} parts of {task}, {completed} items done", work.len()),
+            },
         }
         let now = holder.clock.now();
         for (partition, owned) in
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod relay;
 pub mod rollout;
 pub mod roster;
+pub mod signals;
 pub mod sockets;
 pub mod store_thread;
--- a/crates/server/src/planner/mod.rs
+++ b/crates/server/src/planner/mod.rs
@@ -8,6 +8,7 @@
 use crate::leases::{self, ControlReplicas, PLANNERS_TASK};
 use crate::rollout::member::MemberTask;
 use crate::rollout::RolloutSettings;
+use crate::signals::{OperatorSignal, OperatorSignals};
 use crate::sockets::add_context;
 use crate::{log, rollout};
 use cypresscleat_forwarding::capacity_plan::CapacityPlan;
@@ -82,6 +83,7 @@
 ) -> io::Result<()> {
     let clock = Clock::start();
     let mut terminate = signal(SignalKind::terminate()).map_err(add_context("signals"))?;
+    let mut signals = OperatorSignals::install()?;
     let mut socket = ClusterSocket::new(name, Role::Planner, tier, clock, seed).await?;
     if let Some((settings, request_targets)) =
         rollout.and_then(|settings| Some((settings, settings.request_targets(control_replicas)?)))
@@ -114,6 +116,13 @@
         let received = tokio::select! {
             received = next_message(&mut socket, &mut leadership, clock.now() + POLL_INTERVAL) => received,
             _ = terminate.recv() => break,
+            signal = signals.next() => {
+                match signal {
+                    OperatorSignal::Reload => log!("the files are read with a start only: nothing of them has changed"),
+                    OperatorSignal::Report => log!("planner {name}: {grants_sent} grants sent"),
+                }
+                continue;
+            }
         };
         let now = clock.now();
         let mut changes = Vec::new();
--- a/crates/server/src/relay/mod.rs
+++ b/crates/server/src/relay/mod.rs
@@ -10,6 +10,7 @@
 use crate::rollout::disk::{VersionDisk, Written};
 use crate::rollout::document_store::load_versions;
 use crate::rollout::{check_version, LEAVE_TIMEOUT};
+use crate::signals::{OperatorSignal, OperatorSignals};
 use crate::sockets::add_context;
 use cypresscleat_consensus::message;
 use cypresscleat_rollout::messages::{Request, Response};
@@ -94,7 +95,7 @@
 /// Runs until a signal tells the relay to stop and it has left, or has waited long enough for that.
 async fn run(name: &str, keepers: &ControlReplicas, config: &RelayConfig) -> io::Result<()> {
     let mut term = signal(SignalKind::terminate()).map_err(add_context("signals"))?;
-    let mut usr1 = signal(SignalKind::user_defined1()).map_err(add_context("signals"))?;
+    let mut signals = OperatorSignals::install()?;
     let named = add_context(format!("relay {name} on {}", config.listen));
     let member_socket = UdpSocket::bind(config.listen).await.map_err(named)?;
     let replica_socket = UdpSocket::bind(keepers.local_address())
@@ -151,7 +152,10 @@
             ready = task.replica_socket.readable() => ready?,
             ready = task.member_socket.readable() => ready?,
             Some(written) = task.disk.next() => task.record_written(written),
-            _ = usr1.recv() => log!("{}", task.counter_line()),
+            signal = signals.next() => match signal {
+                OperatorSignal::Reload => log!("the operator's file is read with a start only: nothing of it has changed"),
+                OperatorSignal::Report => log!("{}", task.counter_line()),
+            },
             _ = term.recv(), if stop_at.is_none() => {
                 log!("relay {name} leaves");
                 // Members hold leases of this relay for at most `max_lease`.
--- a/crates/server/tests/owners.rs
+++ b/crates/server/tests/owners.rs
@@ -680,3 +680,79 @@
     assert!(process.ended(TIMEOUT).is_some_and(|status| status.success()));
     stage.apply_order(&Order::Heal);
 }
+
+/// Whether any process has bound the port, as the kernel lists it; a probe that binds could take the port from the process.
+fn is_udp_port_bound(port: u16) -> bool {
+    let sockets = std::fs::read_to_string("/proc/net/udp").unwrap_or_default();
+    sockets
+        .lines()
+        .any(|line| line.split_whitespace().nth(1).is_some_and(|at| at.ends_with(&format!(":{port:04X}"))))
+}
+
+/// Guards against a process that ends on SIGHUP or SIGUSR1: control replicas, the tasks, relays and planners go on, and say in the log what
+/// they leave and what there is.
+#[test]
+fn no_role_ends_on_the_operators_signals() {
+    let mut stage = start_stage(3, 1, 1, ms(50));
+    let ledger = Ledger::start();
+    for (signal, words) in [("HUP", ""), ("USR1", "keeper k0 runs on")] {
+        let replica = stage.process("k0");
+        replica.signal(signal);
+        assert!(words.is_empty() || replica.logged(words, 0, TIMEOUT).is_some(), "{:?}", replica.log());
+        sleep(ms(100));
+        assert!(replica.runs(), "a control replica has ended on {signal}");
+    }
+    let folder = stage.folder().join("store").display().to_string();
+    let task =
+        |key: &str| format!("{key}: {{ledger: \"{}\", folders: [{folder:?}], every: 100ms}}", ledger.address);
+    let config = stage.folder().join("config.json").display().to_string();
+    std::fs::write(&config, include_str!("../../demo/config.json")).expect("to write a configuration");
+    let udp =
+        || std::net::UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a port");
+    let relay = format!(
+        "relay: {{listen: \"{}\", folder: {:?}}}",
+        udp(),
+        stage.folder().join("relay").display().to_string()
+    );
+    let planner_address = udp();
+    let planner = format!(
+        "tier: {{listen: \"{planner_address}\", planners: [{{name: \"toy\", address: \"{planner_address}\"}}], workers: {}}}",
+        "[{name: \"w0\", address: \"127.0.0.1:1\", places: 1}]",
+    );
+    let tally = format!("tally: {{ledger: \"{}\", duty: \"tally\", parts: 1, every: 100ms}}", ledger.address);
+    let roles = [
+        ("reconcile", task("settle"), "is ready for", "0 items done"),
+        ("usage-report", task("sums").replace("every", "span: 1h, every"), "is ready for", "0 items done"),
+        ("counter-demo", tally, "is ready for", "items done"),
+        ("relay", relay, "hears members", "asks 0"),
+        ("plan", planner, "", "grants sent"),
+    ];
+    for (role, settings, ready, report) in roles {
+        let mut process = stage.also(role, &format!("{role}0"), &settings);
+        if role == "plan" {
+            let words = ["plan", "--operator", &stage.operator("plan0")];
+            process = Process::new("toy", Path::new(env!("CARGO_BIN_EXE_cypresscleat-server")), &words)
+                .env("EDGE_CONFIG", &config);
+        }
+        process.start();
+        let log = |process: &Process| format!("{role}: {:?}", process.log());
+        let until = Instant::now() + TIMEOUT;
+        match ready {
+            // A planner doesn't log that it is ready; its handlers are installed before its socket is bound.
+            "" => {
+                while !is_udp_port_bound(planner_address.port()) {
+                    assert!(process.runs() && Instant::now() < until, "{}", log(&process));
+                    sleep(ms(5));
+                }
+            }
+            _ => assert!(process.logged(ready, 0, TIMEOUT).is_some(), "{}", log(&process)),
+        }
+        process.signal("HUP");
+        assert!(process.logged("read with a start only", 0, TIMEOUT).is_some(), "{}", log(&process));
+        process.signal("USR1");
+        assert!(process.logged(report, 0, TIMEOUT).is_some(), "{}", log(&process));
+        assert!(process.runs(), "{}", log(&process));
+        process.end();
+        assert!(process.ended(TIMEOUT).is_some_and(|status| status.success()), "{}", log(&process));
+    }
+}
