reconcile does not report as begun what has succeeded with a large result

Cause: RecoveredState::load turns a success past 4 MiB of results into "started": right for a retry, whose result is not held, wrong for the report, which can't tell it from a run without an end.

Change: what is loaded names the keys that have succeeded without their result; the report leaves them out. Related paths: the server's own use (unchanged: such a retry fails), results dropped while the process runs (in memory only; the store has them as succeeded). Not done: a retry of such a key fails after a restart though its result is stored.

--- a/crates/server/src/core/persistence.rs
+++ b/crates/server/src/core/persistence.rs
@@ -106,6 +106,8 @@
 #[derive(Debug, Default)]
 pub struct RecoveredState {
     pub records: Vec<(String, IdempotencyRecord)>,
+    /// Keys among them whose run has succeeded, with a result that does not fit into memory: known as started only.
+    pub without_result: BTreeSet<String>,
     /// Requests that were open and never answered: the key and a description of each.
     pub interrupted: Vec<(Vec<u8>, String)>,
 }
@@ -126,10 +128,12 @@
             let value = store.get_at(&snapshot, key)?.unwrap_or_default();
             let Some(mut record) = IdempotencyRecord::decode(&value) else { continue };
             bytes += value.len();
-            if bytes > MAX_RESULT_BYTES {
+            let name = String::from_utf8_lossy(&key[2..]).into_owned();
+            if bytes > MAX_RESULT_BYTES && record.state != KeyState::Started {
                 record.state = KeyState::Started;
+                recovered.without_result.insert(name.clone());
             }
-            recovered.records.push((String::from_utf8_lossy(&key[2..]).into_owned(), record));
+            recovered.records.push((name, record));
         }
         Ok(recovered)
     }
--- a/crates/server/src/leases/reconcile.rs
+++ b/crates/server/src/leases/reconcile.rs
@@ -63,7 +63,11 @@
         .interrupted
         .into_iter()
         .map(|(key, what)| Row { key: String::from_utf8_lossy(&key).into(), what });
-    let started = loaded.records.into_iter().filter(|(_, token)| token.state == KeyState::Started);
+    let without_result = loaded.without_result;
+    let started = loaded
+        .records
+        .into_iter()
+        .filter(|(name, token)| token.state == KeyState::Started && !without_result.contains(name));
     let started = started
         .map(|(token, _)| Row { key: format!("t/{token}"), what: "begun, its end is not known".into() });
     Ok(Some(unanswered.chain(started).take(MAX_ROWS_PER_READ).collect()))
--- a/crates/server/tests/core_cases/gates.rs
+++ b/crates/server/tests/core_cases/gates.rs
@@ -221,7 +221,8 @@
     ] {
         let fingerprint = cypresscleat_server::core::fingerprint(1, ask);
         let record = IdempotencyRecord { fingerprint, expires_at, state };
-        let recovered = RecoveredState { records: vec![("k".to_string(), record)], interrupted: Vec::new() };
+        let recovered =
+            RecoveredState { records: vec![("k".to_string(), record)], ..RecoveredState::default() };
         let settings = [r#"/settings/categories/1/effect "dedup""#];
         let setup = StoreSetup { recovered, ..StoreSetup::new(StoreMode::RespondAfterCommit) };
         let mut scenario = Scenario::start_with_setup(&settings, setup);
--- a/crates/server/tests/core_cases/scenario.rs
+++ b/crates/server/tests/core_cases/scenario.rs
@@ -351,7 +351,7 @@
         let decode = |(name, value): (&String, &Vec<u8>)| {
             (name.clone(), IdempotencyRecord::decode(value).expect("a record"))
         };
-        RecoveredState { records: self.records.iter().map(decode).collect(), interrupted: Vec::new() }
+        RecoveredState { records: self.records.iter().map(decode).collect(), ..RecoveredState::default() }
     }
 
     /// The store reports that it can persist again.
--- a/crates/server/tests/store.rs
+++ b/crates/server/tests/store.rs
@@ -8,6 +8,7 @@
 use cypresscleat_server::core::incoming::{IncomingRequest, Peer};
 use cypresscleat_server::core::persistence::{Persistence, RecoveredState, WriteBatch};
 use cypresscleat_server::core::{Core, CoreEvent, Shared};
+use cypresscleat_server::leases::reconcile;
 use cypresscleat_server::lines;
 use cypresscleat_server::listeners::frames::FrameWriter;
 use cypresscleat_server::pool::Outbox;
@@ -459,3 +460,27 @@
         let _ = std::fs::remove_dir_all(&folder);
     }
 }
+
+/// Guards the report of what is unresolved: a run that has succeeded is none of it, also where its result does not fit into memory.
+#[test]
+fn a_run_whose_result_does_not_fit_into_memory_is_not_reported_as_begun() {
+    let folder = folder("large-results");
+    {
+        let disk = DiskDirectory::open(&folder).expect("the folder");
+        let mut store = Store::open(disk, StoreOptions::default()).expect("a store");
+        let record = |tag: u8, result: &[u8]| {
+            [&7u64.to_le_bytes()[..], &i64::MAX.to_le_bytes(), &[tag], result].concat()
+        };
+        // Five results of a million bytes are more than are held in memory.
+        for number in 0..5 {
+            store.put(format!("t/done{number}").as_bytes(), &record(1, &[65; 1_000_000])).expect("a write");
+        }
+        store.put(b"t/unknown", &record(0, b"")).expect("a write");
+        store.commit(true).expect("a commit");
+    }
+    let rows =
+        reconcile::unresolved_rows(&folder, Arc::default()).expect("to read").expect("nobody has the store");
+    let keys: Vec<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+    assert_eq!(keys, ["t/unknown"]);
+    let _ = std::fs::remove_dir_all(&folder);
+}
