A store that failed once is written to again, so that "refuse" ends when it keeps

Cause: is_failing ends with a batch that went well, and no batch is sent while nothing is admitted.

Change: while the store fails and no batch is under way the core removes a row that no request has, once a second; the store writes and syncs it like any other.

Related paths: a full queue and a disk that does not answer in time (their batches are under way: the acknowledgement ends the state), "serve" (the same attempts, they end the log's "served unrecorded" state), an answer that waits for an earlier batch (kept in the order of batches).

--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -410,6 +410,7 @@
         let unix_time = self.host.unix_time;
         if let Some(persistence) = self.host.persistence.as_mut() {
             persistence.expire(unix_time);
+            persistence.probe_if_failing(now);
         }
         if let Some(slots) = self.host.dispatcher.as_ref().map(|dispatcher| dispatcher.granted_slots()) {
             self.with_scheduler(|scheduler, now, host| scheduler.set_granted_slots(now, slots, host));
@@ -830,10 +831,12 @@
         add(&self.counters.repeated);
         let OpenRequest { request_id, fingerprint, .. } = *self.request(slot);
         // The result may not be persisted yet: a client that receives it now must receive the same after a restart.
+        let idempotency_key = self.request(slot).idempotency_key.clone();
         let batch = self
             .persistence
             .as_ref()
-            .and_then(Persistence::pending_batch)
+            .zip(idempotency_key)
+            .and_then(|(persistence, idempotency_key)| persistence.pending_result(&idempotency_key))
             .filter(|_| status == ResponseStatus::Succeeded);
         if !batch.is_some_and(|number| self.respond_after_commit(number, slot, &peer, stream, status, body)) {
             self.write_response(request_id, fingerprint, peer, stream, status, body);
--- a/crates/server/src/core/persistence.rs
+++ b/crates/server/src/core/persistence.rs
@@ -173,6 +173,11 @@
 /// Time that a commit may take: one is requested so long before a response that waits for it must be sent.
 const COMMIT_RESERVE: Time = 50 * MS;
 
+/// Time between two attempts to write while the store fails.
+const PROBE_INTERVAL: Time = 1000 * MS;
+/// Named by the row that such an attempt removes: no request has this id.
+const PROBE_REQUEST_ID: RequestId = [b'-'; 16];
+
 /// Idempotency keys, deferred actions, and the queue to the store.
 pub struct Persistence {
     /// Without a store, idempotency keys are known only while the process lives.
@@ -199,6 +204,8 @@
     commit_by: Time,
     /// The store's queue was full when this commit was requested.
     unsent_commit_by: Option<Time>,
+    /// No attempt to write is made before this time while the store fails.
+    probe_at: Time,
     /// Maximum time between the arrival of a retry and its reading.
     pub max_unread_time: Time,
 }
@@ -222,6 +229,7 @@
             next_respond_by: Time::MAX,
             commit_by: Time::MAX,
             unsent_commit_by: None,
+            probe_at: Time::MIN,
             max_unread_time: 0,
         }
     }
@@ -298,6 +306,15 @@
         }
     }
 
+    /// Tries to write while the store fails and nothing else is written. Protects against a server that takes nothing for good: where
+    /// nothing may be served unrecorded, no request would bring about the write that shows that the store keeps again.
+    pub fn probe_if_failing(&mut self, now: Time) {
+        if self.is_failing && self.last_batch <= self.acknowledged_through && now >= self.probe_at {
+            self.probe_at = now + PROBE_INTERVAL;
+            self.clear_open_request(&PROBE_REQUEST_ID);
+        }
+    }
+
     /// Marks all batches up to this number as finished, or as failed; returns the actions that waited for them.
     pub fn acknowledge(&mut self, acknowledged_through: u64, has_failed: bool) -> Vec<DeferredAction> {
         let mut actions = Vec::new();
@@ -391,14 +408,14 @@
         }
     }
 
-    /// Defers an action until batch `number` is finished: the last batch sent, or an earlier one.
+    /// Defers an action until batch `number` is finished.
     pub fn defer(&mut self, number: u64, action: DeferredAction) {
-        debug_assert!(self.deferred.back().is_none_or(|(earlier, _)| *earlier <= number));
         if let DeferredAction::Respond(response) = &action {
             self.next_respond_by = self.next_respond_by.min(response.respond_by);
             self.request_commit(response.respond_by);
         }
-        self.deferred.push_back((number, action));
+        let position = self.deferred.partition_point(|(earlier, _)| *earlier <= number);
+        self.deferred.insert(position, (number, action));
     }
 
     /// No deferred response must be sent before this time.
@@ -450,9 +467,10 @@
         })
     }
 
-    /// The batch after which everything known now is persisted; `None` where that is already so.
-    pub fn pending_batch(&self) -> Option<u64> {
-        (self.respond_after_commit && self.last_batch > self.acknowledged_through).then_some(self.last_batch)
+    /// The unfinished batch that has the result of a key; `None` where there is none, or where responses don't wait.
+    pub fn pending_result(&self, idempotency_key: &str) -> Option<u64> {
+        let rows = self.uncommitted_rows.iter().rev().filter(|_| self.respond_after_commit);
+        rows.into_iter().find(|(_, name)| name == idempotency_key).map(|(number, _)| *number)
     }
 
     // ---- idempotency keys ----
--- a/crates/server/tests/core_cases/commits.rs
+++ b/crates/server/tests/core_cases/commits.rs
@@ -132,6 +132,27 @@
     }
 }
 
+/// Guards against a server that takes nothing for good after one failed write: it tries to write by itself, and takes requests again once
+/// that goes well.
+#[test]
+fn a_server_that_serves_nothing_unrecorded_takes_requests_again_once_the_store_keeps() {
+    let mut scenario = start(true, 100);
+    scenario.fails_commits = true;
+    scenario.run_line("20 a sends 1 1 unique=k");
+    scenario.run_line("expect a 1 errored");
+    scenario.run_line("30 a sends 2 2 unique=other");
+    scenario.run_line("expect a 2 throttled");
+    // Further attempts fail, at most one a second.
+    scenario.run_line("2900 pass");
+    scenario.run_line("2910 a sends 3 3 unique=other");
+    scenario.run_line("expect a 3 throttled");
+    scenario.fails_commits = false;
+    scenario.run_line("4000 pass");
+    scenario.run_line("4010 a sends 4 4 unique=other");
+    scenario.run_line("expect kernel SCHED 4 ask");
+    assert!(scenario.rows.iter().all(|row| !row.starts_with("o/")), "{:?}", scenario.rows);
+}
+
 /// One step of a random play; times in milliseconds.
 #[derive(Clone, Debug)]
 enum Step {
