An arriving request is hashed once, and the gate's clock read only while some are held

Need: last read of the change. admit identified a request by the fingerprint of its body and computed it again as it opened the request; each arrival asked the policy's gate, which reads a clock, whether it holds, also with nothing held; and the rejection of a held request was written out beside the one that other gates use.

Change: identify returns an Identity (fingerprint and earlier attempt), which open takes; is_holding is asked only where something is held; write_rejection serves both. Counters as before: a held request that expires is still not in invocations, which is noted and left.

--- a/crates/server/src/core/arrivals.rs
+++ b/crates/server/src/core/arrivals.rs
@@ -32,6 +32,12 @@
     request: IncomingRequest,
 }
 
+/// What identifies an arriving request: its content, and the earlier attempt that it repeats.
+struct Identity {
+    fingerprint: u64,
+    earlier_attempt: EarlierAttempt,
+}
+
 /// What the gates decide about new work.
 enum GateDecision {
     Admit,
@@ -94,13 +100,17 @@
             );
         }
         // A request that comes later must not overtake one that is held: it could be a retry of it.
-        let is_holding = self.host.gate.as_ref().is_some_and(|gate| gate.permit() == AdmissionPermit::Hold);
-        if !self.held_requests.is_empty() && !is_holding {
+        if !self.held_requests.is_empty() && !self.is_holding() {
             self.admit_held(unix_time);
         }
         self.admit(unix_time, peer, stream, request);
     }
 
+    /// Whether a policy change pauses admission.
+    fn is_holding(&self) -> bool {
+        self.host.gate.as_ref().is_some_and(|gate| gate.permit() == AdmissionPermit::Hold)
+    }
+
     /// Evaluates the held requests again, in their order of arrival.
     pub(super) fn admit_held(&mut self, unix_time: Time) {
         for held in std::mem::take(&mut self.held_requests) {
@@ -129,8 +139,8 @@
     /// What became of an earlier attempt is asked before any gate is: a gate rejects, which promises that the request
     /// has not run, so it must see new work alone.
     fn admit(&mut self, unix_time: Time, peer: Rc<Peer>, stream: u32, request: IncomingRequest) {
-        let Some(earlier_attempt) = self.identify(unix_time, &peer, stream, &request) else { return };
-        if self.replays_earlier_attempt(request.class, earlier_attempt) {
+        let Some(identity) = self.identify(unix_time, &peer, stream, &request) else { return };
+        if self.replays_earlier_attempt(request.class, identity.earlier_attempt) {
             self.ask_policy_gate(&request);
         } else {
             match self.check_gates(unix_time, &request) {
@@ -147,7 +157,7 @@
             }
         }
         add(&self.host.counters.invocations);
-        self.open(unix_time, peer, stream, request, earlier_attempt);
+        self.open(unix_time, peer, stream, request, identity);
     }
 
     /// Whether requests of a class run at most once under an idempotency key.
@@ -164,7 +174,7 @@
         peer: &Rc<Peer>,
         stream: u32,
         request: &IncomingRequest,
-    ) -> Option<EarlierAttempt> {
+    ) -> Option<Identity> {
         let counters = self.host.counters.clone();
         let requires_key = self.requires_key(request.class);
         if requires_key && request.idempotency_key.is_none() {
@@ -192,7 +202,7 @@
         let scheduler = self.scheduler.as_ref();
         let is_open = |slot| scheduler.is_some_and(|scheduler| scheduler.is_open(slot));
         match host.check_duplicate(request.request_id, fingerprint, peer, stream, is_open) {
-            DuplicateCheck::New => Some(earlier_attempt),
+            DuplicateCheck::New => Some(Identity { fingerprint, earlier_attempt }),
             DuplicateCheck::SameRequest => None,
             DuplicateCheck::Conflict => {
                 peer.close_on_violation(
@@ -284,7 +294,7 @@
         peer: Rc<Peer>,
         stream: u32,
         request: IncomingRequest,
-        earlier_attempt: EarlierAttempt,
+        Identity { fingerprint, earlier_attempt }: Identity,
     ) {
         let requires_key = self.requires_key(request.class);
         let host = &mut self.host;
@@ -305,7 +315,7 @@
             request_id,
             client: None,
             class: request.class,
-            fingerprint: fingerprint(request.class, request.body()),
+            fingerprint,
             payload: request.bytes,
             body: request.body,
             run_state: RunState::Idle,
@@ -357,18 +367,7 @@
             peer.queued_requests.set(peer.queued_requests.get().saturating_sub(1));
             if !peer.is_closed.get() {
                 add(&self.host.counters.policy_refused);
-                add(&self.host.counters.throttled);
-                let status = ResponseStatus::Rejected {
-                    retry_after: OUT_OF_SERVICE_RETRY_AFTER,
-                    no_retry_elsewhere: false,
-                };
-                peer.writer.write_response(
-                    &peer.outbox,
-                    stream,
-                    status,
-                    b"",
-                    self.host.server_status.load_feedback.get(),
-                );
+                self.host.write_rejection(&peer, stream, OUT_OF_SERVICE_RETRY_AFTER);
             }
         }
     }
@@ -389,6 +388,10 @@
     /// does.
     fn reject_before_admission(&self, peer: &Peer, stream: u32, retry_after: Time) {
         add(&self.counters.invocations);
+        self.write_rejection(peer, stream, retry_after);
+    }
+
+    fn write_rejection(&self, peer: &Peer, stream: u32, retry_after: Time) {
         add(&self.counters.throttled);
         let status = ResponseStatus::Rejected { retry_after, no_retry_elsewhere: false };
         peer.writer.write_response(&peer.outbox, stream, status, b"", self.server_status.load_feedback.get());
