--- a/crates/server/src/core/persistence.rs
+++ b/crates/server/src/core/persistence.rs
@@ -200,7 +200,7 @@
     acknowledged_through: u64,
     /// No deferred response must be sent before this time.
     next_respond_by: Time,
-    /// The earliest commit requested for the batches that are not finished.
+    /// The earliest commit requested since a batch was finished last.
     commit_by: Time,
     /// The store's queue was full when this commit was requested.
     unsent_commit_by: Option<Time>,
@@ -283,10 +283,8 @@
         Some(number)
     }
 
-    /// Requests that all batches sent so far are committed in time for a response that is sent at `respond_by`, unless
-    /// an earlier commit of them was requested.
-    fn request_commit(&mut self, respond_by: Time) {
-        let commit_by = respond_by - COMMIT_RESERVE;
+    /// Requests that all batches sent so far are committed by this time, unless an earlier commit of them was requested.
+    fn request_commit(&mut self, commit_by: Time) {
         if self.last_batch <= self.acknowledged_through || commit_by >= self.commit_by {
             return;
         }
@@ -326,10 +324,10 @@
             }
         }
         self.acknowledged_through = acknowledged_through;
-        if acknowledged_through >= self.last_batch {
-            (self.commit_by, self.unsent_commit_by) = (Time::MAX, None);
-        } else if let Some(commit_by) = self.unsent_commit_by.take() {
-            self.request_commit(commit_by + COMMIT_RESERVE);
+        // What was requested for the finished batches says nothing about the others, whose own times the store has.
+        self.commit_by = Time::MAX;
+        if let Some(commit_by) = self.unsent_commit_by.take() {
+            self.request_commit(commit_by);
         }
         while self.deferred.front().is_some_and(|(number, _)| *number <= acknowledged_through) {
             actions.extend(self.deferred.pop_front().map(|(_, action)| action));
@@ -412,7 +410,7 @@
     pub fn defer(&mut self, number: u64, action: DeferredAction) {
         if let DeferredAction::Respond(response) = &action {
             self.next_respond_by = self.next_respond_by.min(response.respond_by);
-            self.request_commit(response.respond_by);
+            self.request_commit(response.respond_by - COMMIT_RESERVE);
         }
         let position = self.deferred.partition_point(|(earlier, _)| *earlier <= number);
         self.deferred.insert(position, (number, action));
@@ -455,7 +453,7 @@
         }
         if is_waiting {
             self.next_respond_by = self.next_respond_by.min(respond_by);
-            self.request_commit(respond_by);
+            self.request_commit(respond_by - COMMIT_RESERVE);
         }
     }
 
--- a/crates/server/tests/core_cases/commits.rs
+++ b/crates/server/tests/core_cases/commits.rs
@@ -153,6 +153,31 @@
     assert!(scenario.rows.iter().all(|row| !row.starts_with("o/")), "{:?}", scenario.rows);
 }
 
+/// Guards against a retry that waits past its time for a batch which was sent without it in mind: an earlier commit that was requested
+/// for batches which are finished says nothing about those that are not.
+#[test]
+fn a_retry_brings_a_commit_forward_although_an_earlier_one_was_requested_before() {
+    let mut scenario = start(true, 100);
+    scenario.run_line("10 b sends 1 2 unique=k");
+    scenario.run_line("expect kernel SCHED 2 ask");
+    scenario.holds_commits = true;
+    scenario.run_line("20 a sends 1 1 verb=report within=400");
+    scenario.run_line(&reap(30, "1"));
+    assert_eq!(scenario.commit_by.map(|at| at / 10), Some(420 - COMMIT_RESERVE_MS));
+    // The store's thread commits this, while the next row is in the queue.
+    scenario.leaves_queue = true;
+    scenario.run_line(&reap(40, "2"));
+    scenario.run_line("50 store commits");
+    scenario.run_line("expect a 1 succeeded result");
+    scenario.run_line("60 c sends 1 3 unique=k within=1000");
+    scenario.leaves_queue = false;
+    scenario.run_line("70 pass");
+    assert_eq!(scenario.commit_by.map(|at| at / 10), Some(1_060 - COMMIT_RESERVE_MS));
+    scenario.run_line("80 store commits");
+    scenario.run_line("expect b 1 succeeded result");
+    scenario.run_line("expect c 1 succeeded result");
+}
+
 /// One step of a random play; times in milliseconds.
 #[derive(Clone, Debug)]
 enum Step {
