One rule for a success that is not recorded, and one time for each of its waits

What the client of an unrecorded success gets (full: serve or refuse) stood in three places: a failed commit, a commit that is late, a full queue. The time by which a response is sent was computed in respond_by and again in record_billing, and that a drain's time is over in two stages.

Change: unrecorded_status and write_unrecorded_response; record_billing calls respond_by; both stages call is_past_drain_deadline. limit_deferred_responses limits held requests too and is called limit_waits; a comment that no longer held is gone.

--- a/crates/scheduler/src/admission/deduplication.rs
+++ b/crates/scheduler/src/admission/deduplication.rs
@@ -62,7 +62,7 @@
         Some(EarlierResult::Replayable) => {
             scheduler.transition(now, arrival.slot, Phase::AwaitingResult);
             host.replay_result(arrival.slot);
-            if scheduler.draining.is_past_stop(now) {
+            if scheduler.is_past_drain_deadline(now) {
                 // The process may end before the next tick: a result that isn't there by now comes too late.
                 scheduler.fail(now, arrival.slot, FailReason::DeadlinePassed, host);
                 return AdmissionStep::Ended;
--- a/crates/scheduler/src/admission/draining.rs
+++ b/crates/scheduler/src/admission/draining.rs
@@ -36,11 +36,6 @@
     pub(crate) fn is_draining(&self) -> bool {
         self.window.is_some()
     }
-
-    /// Whether the time is over by which all requests are answered in a drain.
-    pub(crate) fn is_past_stop(&self, now: Time) -> bool {
-        self.window.is_some_and(|window| now >= window.stop_at)
-    }
 }
 
 /// While draining, rejects requests that arrived after the grace period or are read once the stop is reached, and limits
@@ -55,7 +50,7 @@
     let Some(request) = scheduler.requests.get_mut(arrival.slot) else { return AdmissionStep::Ended };
     request.deadline = request.deadline.min(window.stop_at).max(now);
     request.objective_at = request.objective_at.min(window.stop_at);
-    let is_late = request.arrived_at >= window.grace_until || now >= window.stop_at;
+    let is_late = request.arrived_at >= window.grace_until || scheduler.is_past_drain_deadline(now);
     if is_late && !scheduler.retries_without_running(arrival.class, arrival.earlier_attempt) {
         scheduler.reject(now, arrival.slot, RejectReason::Draining, host);
         return AdmissionStep::Ended;
@@ -70,6 +65,11 @@
         self.draining.window.map(|window| window.stop_at)
     }
 
+    /// Whether the time is over by which all requests are answered in a drain.
+    pub(crate) fn is_past_drain_deadline(&self, now: Time) -> bool {
+        self.drain_deadline().is_some_and(|deadline| now >= deadline)
+    }
+
     /// Handles the termination notice: the server will be stopped after `within`. Health checks fail from now on, and all
     /// requests receive their final response before the stop.
     pub fn start_draining(&mut self, now: Time, within: Time, host: &mut impl Host) {
--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -341,11 +341,11 @@
         self.host.is_draining = true;
         self.host.persist_open_requests(0..self.host.requests.len());
         self.with_scheduler(|scheduler, now, host| scheduler.start_draining(now, within, host));
-        self.limit_deferred_responses();
+        self.limit_waits();
     }
 
-    /// Limits the wait for the store to the time by which a drain must have answered everything.
-    fn limit_deferred_responses(&mut self) {
+    /// Limits what waits for the store or is held to the time by which a drain must have answered everything.
+    fn limit_waits(&mut self) {
         if let Some(deadline) = self.scheduler.as_ref().and_then(Scheduler::drain_deadline) {
             self.host.set_drain_deadline(deadline);
             self.limit_held(deadline);
@@ -554,7 +554,7 @@
             scheduler.start_draining(at, within, &mut self.host);
         }
         self.scheduler = Some(scheduler);
-        self.limit_deferred_responses();
+        self.limit_waits();
         self.host.readiness.mark_executor_up();
         self.update_slow_start_limit();
     }
@@ -781,11 +781,11 @@
 
     /// Hands a billing row to the store; returns the number of its batch.
     fn record_billing(&mut self, slot: RequestSlot, body: &[u8]) -> Option<u64> {
+        let respond_by = self.respond_by(slot);
         let request = self.requests[slot].as_ref()?;
         let (value, objective, late_share) = self.class_values.get(request.class).copied()?;
         let in_time = self.unix_time - request.arrived_at <= objective;
         let tenant = request.tenant.and_then(|at| self.names.tenants.get(at)).map_or("", String::as_str);
-        let respond_by = self.drain_deadline.unwrap_or(Time::MAX).min(request.deadline);
         let row = BillingRow {
             request_id: &request.request_id,
             class: &self.names.classes[request.class],
--- a/crates/server/src/core/commits.rs
+++ b/crates/server/src/core/commits.rs
@@ -2,7 +2,7 @@
 
 use super::executor_link::RunState;
 use super::incoming::{FailureCause, Peer, RequestId, ResponseStatus};
-use super::persistence::{DeferredAction, DeferredResponse};
+use super::persistence::{DeferredAction, DeferredResponse, Persistence};
 use super::{Core, CoreHost, OpenRequest};
 use crate::counters::add;
 use cypresscleat_scheduler::{Outcome, RequestSlot, Time};
@@ -13,18 +13,14 @@
     pub(super) fn handle_persisted(&mut self, acknowledged_through: u64, failure: Option<String>) {
         let Some(persistence) = self.host.persistence.as_mut() else { return };
         let actions = persistence.acknowledge(acknowledged_through, failure.is_some());
-        let rejects_on_failure = persistence.reject_on_failure;
         persistence.set_failing(failure.as_deref());
         for action in actions {
             match action {
-                DeferredAction::Respond(mut response) => {
-                    let lost = failure.is_some();
-                    if lost && rejects_on_failure {
-                        response.status = ResponseStatus::Failed(FailureCause::ExecutionFailed);
-                    }
-                    add(if lost { &self.host.counters.unrecorded } else { &self.host.counters.recorded });
+                DeferredAction::Respond(response) if failure.is_none() => {
+                    add(&self.host.counters.recorded);
                     self.host.write_deferred_response(response);
                 }
+                DeferredAction::Respond(response) => self.host.write_unrecorded_response(response),
                 DeferredAction::Run(slot, request_id) => {
                     let is_open = self.host.slots_by_id.get(&request_id) == Some(&slot);
                     if failure.is_some() {
@@ -66,14 +62,18 @@
             return (status, body, None);
         }
         let number = self.record_billing(slot, body);
-        let is_lost = number.is_none()
-            && self
-                .persistence
-                .as_ref()
-                .is_some_and(|persistence| persistence.has_store() && persistence.reject_on_failure);
-        match is_lost {
-            true => (ResponseStatus::Failed(FailureCause::ExecutionFailed), b"", None),
-            false => (status, body, number),
+        let has_store = self.persistence.as_ref().is_some_and(Persistence::has_store);
+        match self.unrecorded_status() {
+            status @ ResponseStatus::Failed(_) if has_store && number.is_none() => (status, b"", None),
+            _ => (status, body, number),
+        }
+    }
+
+    /// What the client of a success gets that is not recorded.
+    fn unrecorded_status(&self) -> ResponseStatus {
+        match self.persistence.as_ref().is_some_and(|persistence| persistence.reject_on_failure) {
+            true => ResponseStatus::Failed(FailureCause::ExecutionFailed),
+            false => ResponseStatus::Succeeded,
         }
     }
 
@@ -82,8 +82,7 @@
         self.drain_deadline.unwrap_or(Time::MAX).min(self.request(slot).deadline)
     }
 
-    /// Sends the deferred responses whose time is over, although the store has not persisted their rows: as a failure
-    /// where nothing may be served unrecorded, else unrecorded.
+    /// Sends the deferred responses whose time is over, although the store has not persisted their rows.
     pub(super) fn release_overdue_responses(&mut self) {
         let Some(persistence) = self.persistence.as_mut() else { return };
         let overdue = persistence.take_overdue(self.now);
@@ -91,14 +90,7 @@
             return;
         }
         persistence.set_failing(Some("the disk does not answer in time"));
-        let rejects_on_failure = persistence.reject_on_failure;
-        for mut response in overdue {
-            if rejects_on_failure && response.status == ResponseStatus::Succeeded {
-                response.status = ResponseStatus::Failed(FailureCause::ExecutionFailed);
-            }
-            add(&self.counters.unrecorded);
-            self.write_deferred_response(response);
-        }
+        overdue.into_iter().for_each(|response| self.write_unrecorded_response(response));
     }
 
     /// Sets the time by which all responses must be sent in a drain.
@@ -132,12 +124,18 @@
         let respond_by = self.respond_by(slot);
         let response = DeferredResponse { request_id, fingerprint, peer, stream, status, body, respond_by };
         if let Some(persistence) = self.persistence.as_mut() {
-            // Followers wait for the same batch, which is the last one sent.
             persistence.defer(number, DeferredAction::Respond(response));
         }
         true
     }
 
+    /// Writes a response whose billing row is not persisted.
+    fn write_unrecorded_response(&mut self, response: DeferredResponse) {
+        add(&self.counters.unrecorded);
+        let status = self.unrecorded_status();
+        self.write_deferred_response(DeferredResponse { status, ..response });
+    }
+
     /// Writes a response that waited for its billing row.
     fn write_deferred_response(&mut self, response: DeferredResponse) {
         let DeferredResponse { request_id, fingerprint, peer, stream, status, body, .. } = response;
