The state of a folder is taken on the reading thread; both tasks start in one place

The hour that a read stood for was the one at its end: an hour that closed during a read was passed over until the next hour or a change of the folder. The look at a pending read and the start of the task stood in usage_report and reconcile alike.

--- a/crates/server/src/leases/folder_reader.rs
+++ b/crates/server/src/leases/folder_reader.rs
@@ -1,6 +1,7 @@
 //! Reads the folders of instances on a thread of its own, so that the task that renews the leases never waits for a disk. One folder is
 //! read at a time.
 
+use cypresscleat_leases::Time;
 use std::io;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -8,6 +9,14 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
+/// Time between two looks at a read that is under way.
+pub const POLL_INTERVAL: Time = 100;
+
+/// The thread that reads has ended: there will be no result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the thread that reads has ended")]
+pub struct ReaderEnded;
+
 type Read<T> = Box<dyn FnOnce(Arc<AtomicBool>) -> T + Send>;
 
 /// A read that the thread carries out next.
@@ -56,17 +65,24 @@
 }
 
 impl<T> PendingRead<T> {
-    /// Returns the result once the read is done; `Err` where there will be none.
+    /// Returns the result once the read is done.
     ///
     /// # Errors
     /// The thread has ended.
-    pub fn poll(&self) -> Result<Option<T>, TryRecvError> {
+    pub fn poll(&self) -> Result<Option<T>, ReaderEnded> {
         match self.result.try_recv() {
             Ok(result) => Ok(Some(result)),
             Err(TryRecvError::Empty) => Ok(None),
-            Err(error) => Err(error),
+            Err(TryRecvError::Disconnected) => Err(ReaderEnded),
         }
     }
+
+    /// Takes the result of a read that is done; `None` while it is under way.
+    pub fn take(pending: &mut Option<PendingRead<T>>) -> Option<Result<T, ReaderEnded>> {
+        let result = pending.as_ref()?.poll().transpose()?;
+        *pending = None;
+        Some(result)
+    }
 }
 
 impl<T> Drop for PendingRead<T> {
--- a/crates/server/src/leases/folder_slots.rs
+++ b/crates/server/src/leases/folder_slots.rs
@@ -12,12 +12,14 @@
 //! The first table numbers the folders in the order of the list, which is how earlier versions numbered the partitions of the task.
 
 use super::lease_holder::LeaseHolder;
+use super::task_worker::{self, ItemSource};
 use super::ControlReplicas;
 use crate::log;
 use cypresscleat_leases::client::LeaseEvent;
 use cypresscleat_leases::{node_id, Claim, NodeId, Partition, Time};
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// Time between two log lines of a process that waits for the table.
@@ -89,12 +91,30 @@
     [format!("{task}.slots"), format!("{task}.names")]
 }
 
+/// Runs a task whose partitions are folders until SIGTERM: gives each folder its slot, and has `start` make the items' source of the
+/// folder of each slot.
+///
+/// # Errors
+/// A socket, a signal handler or the source could not be set up.
+pub async fn run_task<Source: ItemSource>(
+    name: &str,
+    control: &ControlReplicas,
+    task: &str,
+    (folders, ledger): (&[PathBuf], SocketAddr),
+    start: impl FnOnce(Vec<Option<PathBuf>>) -> io::Result<Source>,
+) -> io::Result<()> {
+    let registration = register(name, control, task, folders);
+    let Some(table) = task_worker::unless_terminated(registration).await? else { return Ok(()) };
+    let source = start(table.folders_by_slot(folders))?;
+    task_worker::run(name, control, task, table.len() as u32, ledger, source).await
+}
+
 /// Adds the folders to the table of the task and returns it. Waits for the control replicas, and for other processes that change the
 /// table.
 ///
 /// # Errors
 /// A socket could not be opened.
-pub async fn register(
+async fn register(
     name: &str,
     control: &ControlReplicas,
     task: &str,
--- a/crates/server/src/leases/reconcile.rs
+++ b/crates/server/src/leases/reconcile.rs
@@ -11,9 +11,9 @@
 //! {"part":0,"item":8813…,"taken":true}      or taken false, where the ledger has seen a later token
 //! ```
 
-use super::folder_reader::{FolderReader, PendingRead};
+use super::folder_reader::{self, FolderReader, PendingRead};
 use super::folder_slots;
-use super::task_worker::{self, Item, ItemSource};
+use super::task_worker::{Item, ItemSource};
 use super::ControlReplicas;
 use crate::core::persistence::{KeyState, RecoveredState};
 use crate::log;
@@ -79,9 +79,6 @@
     RecoveredState::load(&mut store)
 }
 
-/// Time between two looks at a read that is under way.
-const READ_POLL_INTERVAL: Time = 100;
-
 /// The rows of a folder, as a read has brought them.
 type RowsRead = Result<Option<Vec<Row>>, String>;
 
@@ -103,19 +100,17 @@
 }
 
 impl OwnedFolder {
-    /// Reads the folder, or takes the result of the read under way. Returns the time until the next look, where nothing is known yet.
+    /// Begins a read of the folder, or takes the result of the one under way.
+    ///
+    /// # Errors
+    /// The time until the next look, while there is no result.
     fn refresh(&mut self, reader: &FolderReader<RowsRead>, folder: &Path) -> Result<(), Time> {
-        let Some(pending) = &self.pending_read else {
+        if self.pending_read.is_none() {
             let folder = folder.to_path_buf();
             self.pending_read = Some(reader.read(move |cancelled| unresolved_rows(&folder, cancelled)));
-            return Err(READ_POLL_INTERVAL);
-        };
-        let result = match pending.poll() {
-            Ok(Some(result)) => result,
-            Ok(None) => return Err(READ_POLL_INTERVAL),
-            Err(_) => Err("the thread that reads has ended".to_string()),
-        };
-        self.pending_read = None;
+        }
+        let result = PendingRead::take(&mut self.pending_read).ok_or(folder_reader::POLL_INTERVAL)?;
+        let result = result.unwrap_or_else(|ended| Err(ended.to_string()));
         match result {
             Ok(rows) => {
                 let rows = rows.into_iter().flatten();
@@ -161,14 +156,9 @@
 
 /// Runs the task until SIGTERM.
 pub async fn run(name: &str, control: &ControlReplicas, config: &ReconcileConfig) -> io::Result<()> {
-    let Some(table) =
-        task_worker::unless_terminated(folder_slots::register(name, control, TASK_NAME, &config.folders))
-            .await?
-    else {
-        return Ok(());
-    };
-    let by_slot = table.folders_by_slot(&config.folders);
-    let reader = FolderReader::start()?;
-    let folders = Folders { by_slot, interval: config.interval, reader, owned: HashMap::new() };
-    task_worker::run(name, control, TASK_NAME, table.len() as u32, config.ledger, folders).await
+    folder_slots::run_task(name, control, TASK_NAME, (&config.folders, config.ledger), |by_slot| {
+        let (interval, reader) = (config.interval, FolderReader::start()?);
+        Ok(Folders { by_slot, interval, reader, owned: HashMap::new() })
+    })
+    .await
 }
--- a/crates/server/src/leases/usage_report.rs
+++ b/crates/server/src/leases/usage_report.rs
@@ -6,9 +6,9 @@
 //! {"duty":"sums","part":0,"item":489123,"rows":311,"billed_milli":933000,"token":57,"by":"n1"}
 //! ```
 
-use super::folder_reader::{folder_state, FolderReader, FolderState, PendingRead};
+use super::folder_reader::{self, folder_state, FolderReader, FolderState, PendingRead};
 use super::folder_slots;
-use super::task_worker::{self, Item, ItemSource};
+use super::task_worker::{Item, ItemSource};
 use super::ControlReplicas;
 use crate::hourly_usage::{self, ClosedHours, HourTotals};
 use crate::{clock, log};
@@ -18,6 +18,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
 
 /// The `sums` of the operator's file.
 #[derive(Clone, Debug, PartialEq)]
@@ -64,12 +66,6 @@
     }
 }
 
-/// Time between two looks at a read that is under way.
-const READ_POLL_INTERVAL: Time = 100;
-
-/// What a read has brought: the closed hours, and the state in which the folder was before.
-type HoursRead = (Result<ClosedHours, String>, Option<FolderState>);
-
 /// What was read of a store that no process holds. It can be read again only with the same result, until the folder or the hour changes.
 #[derive(PartialEq)]
 struct ReadState {
@@ -77,10 +73,37 @@
     hour: u64,
 }
 
+/// A look at a folder: the closed hours, unless nothing has changed, and what the next look compares with.
+struct FolderLook {
+    hours: Result<Option<ClosedHours>, String>,
+    state: Option<ReadState>,
+}
+
+/// Reads the hours of a folder from `from` on, unless it is as it was at the last read.
+fn read_if_changed(
+    folder: &Path,
+    (hour_ms, from): (u64, u64),
+    last: Option<ReadState>,
+    cancelled: Arc<AtomicBool>,
+) -> FolderLook {
+    if !folder.is_dir() {
+        return FolderLook { hours: Ok(None), state: None };
+    }
+    let now = (clock::unix_time() / 10) as u64;
+    // Taken before the read: what is written meanwhile shows at the next look.
+    let state = folder_state(folder).ok().map(|folder| ReadState { folder, hour: now / hour_ms });
+    if state.is_some() && state == last {
+        return FolderLook { hours: Ok(None), state };
+    }
+    let hours = hourly_usage::read_closed_hours(folder, hour_ms, from, now, cancelled);
+    let is_from_store = hours.as_ref().is_ok_and(|hours| hours.is_from_store);
+    FolderLook { hours: hours.map(Some), state: state.filter(|_| is_from_store) }
+}
+
 /// An owned partition.
 #[derive(Default)]
 struct OwnedFolder {
-    pending_read: Option<PendingRead<HoursRead>>,
+    pending_read: Option<PendingRead<FolderLook>>,
     last_read: Option<ReadState>,
     /// The next hour to report.
     next_hour: u64,
@@ -95,44 +118,33 @@
     config: UsageReportConfig,
     /// The folder of each slot that the configuration names.
     by_slot: Vec<Option<PathBuf>>,
-    reader: FolderReader<HoursRead>,
+    reader: FolderReader<FolderLook>,
     owned: HashMap<u32, OwnedFolder>,
 }
 
 impl OwnedFolder {
-    /// Reads the folder, or takes the result of the read under way. Returns the time until the next look, where nothing is known yet.
+    /// Begins a look at the folder, or takes the result of the one under way.
+    ///
+    /// # Errors
+    /// The time until the next look, while there is no result.
     fn refresh(
         &mut self,
-        reader: &FolderReader<HoursRead>,
+        reader: &FolderReader<FolderLook>,
         folder: &Path,
-        (hour_ms, interval): (u64, Time),
+        hour_ms: u64,
     ) -> Result<(), Time> {
-        let now = (clock::unix_time() / 10) as u64;
-        let hour = now / hour_ms;
-        let Some(pending) = &self.pending_read else {
-            let current = folder_state(folder).ok().map(|folder| ReadState { folder, hour });
-            if current.is_some() && current == self.last_read {
-                return Err(interval);
-            }
-            let (folder, from) = (folder.to_path_buf(), self.next_hour);
-            self.pending_read = Some(reader.read(move |cancelled| {
-                let before = folder_state(&folder).ok();
-                (hourly_usage::read_closed_hours(&folder, hour_ms, from, now, cancelled), before)
-            }));
-            return Err(READ_POLL_INTERVAL);
-        };
-        let (result, before) = match pending.poll() {
-            Ok(Some(read)) => read,
-            Ok(None) => return Err(READ_POLL_INTERVAL),
-            Err(_) => (Err("the thread that reads has ended".to_string()), None),
-        };
-        self.pending_read = None;
-        match result {
-            Ok(closed) => {
-                let before = before.filter(|_| closed.is_from_store);
-                self.last_read = before.map(|folder| ReadState { folder, hour });
-                self.unreported = closed.hours.into();
-            }
+        if self.pending_read.is_none() {
+            let (folder, hours, last) =
+                (folder.to_path_buf(), (hour_ms, self.next_hour), self.last_read.take());
+            self.pending_read =
+                Some(reader.read(move |cancelled| read_if_changed(&folder, hours, last, cancelled)));
+        }
+        let look = PendingRead::take(&mut self.pending_read).ok_or(folder_reader::POLL_INTERVAL)?;
+        let FolderLook { hours, state } =
+            look.unwrap_or_else(|ended| FolderLook { hours: Err(ended.to_string()), state: None });
+        self.last_read = state;
+        match hours {
+            Ok(closed) => self.unreported.extend(closed.unwrap_or_default().hours),
             Err(error) if error != self.logged_error => {
                 log!("{error}");
                 self.logged_error = error;
@@ -174,10 +186,10 @@
     fn next_item(&mut self, partition: u32) -> Result<Item, Time> {
         let interval = self.config.interval;
         let hour_ms = self.hour_ms();
-        let folder = self.folder(partition).filter(|folder| folder.is_dir()).ok_or(interval)?.clone();
+        let folder = self.folder(partition).ok_or(interval)?.clone();
         let owned = self.owned.get_mut(&partition).filter(|owned| !owned.is_refused).ok_or(interval)?;
         if owned.unreported.is_empty() {
-            owned.refresh(&self.reader, &folder, (hour_ms, interval))?;
+            owned.refresh(&self.reader, &folder, hour_ms)?;
         }
         let (hour, sum) = owned.unreported.front().copied().ok_or(interval)?;
         let fields = [("rows", json!(sum.rows)), ("billed_milli", json!(sum.billed_milli))];
@@ -196,14 +208,8 @@
 
 /// Runs the task until SIGTERM.
 pub async fn run(name: &str, control: &ControlReplicas, config: &UsageReportConfig) -> io::Result<()> {
-    let Some(table) =
-        task_worker::unless_terminated(folder_slots::register(name, control, TASK_NAME, &config.folders))
-            .await?
-    else {
-        return Ok(());
-    };
-    let by_slot = table.folders_by_slot(&config.folders);
-    let reader = FolderReader::start()?;
-    let folders = Folders { config: config.clone(), by_slot, reader, owned: HashMap::new() };
-    task_worker::run(name, control, TASK_NAME, table.len() as u32, config.ledger, folders).await
+    folder_slots::run_task(name, control, TASK_NAME, (&config.folders, config.ledger), |by_slot| {
+        Ok(Folders { config: config.clone(), by_slot, reader: FolderReader::start()?, owned: HashMap::new() })
+    })
+    .await
 }
